--- /dev/null
+++ b/base/invariant.cpp
@@ -0,0 +1,17 @@
+#include "base/invariant.h"
+
+#include "base/log.h"
+
+#include <cstdlib>
+#include <string>
+
+namespace cardamom {
+
+void invariantBroken(std::string_view What, std::string_view File, int Line) {
+  logFault("invariant_broken", {{"what", std::string(What)},
+                                {"file", std::string(File)},
+                                {"line", std::to_string(Line)}});
+  std::abort();
+}
+
+} // namespace cardamom
--- /dev/null
+++ b/base/time.h
@@ -0,0 +1,19 @@
+/// \file
+/// Time types. Every function that decides takes the present time as an
+/// argument, so that tests run without waiting.
+
+#ifndef CARDAMOM_BASE_TIME_H
+#define CARDAMOM_BASE_TIME_H
+
+#include <chrono>
+
+namespace cardamom {
+
+using steady_clock = std::chrono::steady_clock;
+using time_point = steady_clock::time_point;
+using milliseconds = std::chrono::milliseconds;
+using microseconds = std::chrono::microseconds;
+
+} // namespace cardamom
+
+#endif // CARDAMOM_BASE_TIME_H
--- /dev/null
+++ b/inner/peer.h
@@ -0,0 +1,27 @@
+/// \file
+/// Identity of a process of the system as another process sees it.
+
+#ifndef CARDAMOM_INNER_PEER_H
+#define CARDAMOM_INNER_PEER_H
+
+#include <cstdint>
+#include <string>
+
+namespace cardamom {
+
+/// Version of the inner protocol; peers of another version are refused.
+inline constexpr uint32_t InnerProtocolVersion = 1;
+
+struct peer_identity {
+  std::string Name;
+  /// Random number drawn at process start and never used again.
+  uint64_t Incarnation = 0;
+  std::string FailureDomain;
+  std::string Build;
+  /// "entry", "agent" or the name of a tool.
+  std::string Role;
+};
+
+} // namespace cardamom
+
+#endif // CARDAMOM_INNER_PEER_H
--- /dev/null
+++ b/policy/router.cpp
@@ -0,0 +1,121 @@
+#include "policy/router.h"
+
+#include <algorithm>
+#include <limits>
+#include <utility>
+
+namespace cardamom {
+
+router::router(router_options Options) : Options(std::move(Options)) {}
+
+bool router::eligible(const route_request &Request,
+                      const upstream_view &Candidate) const {
+  if (!Candidate.Connected || Candidate.Draining || !Candidate.Ready)
+    return false;
+  if (Candidate.ObservedVersion < Request.MinVersion)
+    return false;
+  return std::find(Request.Exclude.begin(), Request.Exclude.end(),
+                   Candidate.Name) == Request.Exclude.end();
+}
+
+double router::defaultMsPerWork() const {
+  // An upstream that has not been used yet is taken to be as fast as the
+  // average, so that it is neither avoided nor flooded.
+  double Sum = 0;
+  unsigned Count = 0;
+  for (const auto &[Name, Entry] : Learned) {
+    if (Entry.MsPerWork <= 0)
+      continue;
+    Sum += Entry.MsPerWork;
+    ++Count;
+  }
+  return Count == 0 ? 1 : Sum / Count;
+}
+
+double router::predictMs(const route_request &Request,
+                         const upstream_view &Candidate, time_point Now) const {
+  const auto It = Learned.find(Candidate.Name);
+  double MsPerWork = defaultMsPerWork();
+  double Occupied = Candidate.Running + Candidate.Queued;
+  double Work = Request.Work;
+  if (It != Learned.end()) {
+    const learned &Entry = It->second;
+    if (Entry.MsPerWork > 0)
+      MsPerWork = Entry.MsPerWork;
+    const auto Newer =
+        std::count_if(Entry.Dispatches.begin(), Entry.Dispatches.end(),
+                      [&](time_point At) { return At > Candidate.LoadAt; });
+    // The report lags: own dispatches after it are not in it yet.
+    Occupied = std::max<double>(Occupied + double(Newer), Entry.Outstanding);
+    if (Request.PrefixHash != 0 &&
+        std::find(Entry.Prefixes.begin(), Entry.Prefixes.end(),
+                  Request.PrefixHash) != Entry.Prefixes.end())
+      Work *= 1 - Options.PrefixSaving;
+  }
+  const double Waiting = std::max(0.0, Occupied + 1 - Candidate.Slots);
+  const double Rounds = Waiting / std::max(1U, Candidate.Slots);
+  return MsPerWork * (Work + Rounds * Request.Work);
+}
+
+std::optional<size_t> router::pick(const route_request &Request,
+                                   std::span<const upstream_view> Candidates,
+                                   time_point Now) {
+  std::optional<size_t> Best;
+  double BestCost = std::numeric_limits<double>::infinity();
+  // Equal costs are common while nothing is known; the random start spreads
+  // several entries over the candidates.
+  const size_t Count = Candidates.size();
+  const size_t Start =
+      Options.Random ? size_t(Options.Random() * double(Count)) : 0;
+  for (size_t I = 0; I < Count; ++I) {
+    const size_t Index = (Start + I) % Count;
+    if (!eligible(Request, Candidates[Index]))
+      continue;
+    const double Cost = predictMs(Request, Candidates[Index], Now);
+    if (Cost >= BestCost)
+      continue;
+    BestCost = Cost;
+    Best = Index;
+  }
+  return Best;
+}
+
+void router::onDispatch(std::string_view Upstream, const route_request &Request,
+                        time_point Now) {
+  // Reports lag by less than a second or two; older dispatches are in them.
+  static constexpr milliseconds DispatchMemory{5000};
+  learned &Entry = Learned[std::string(Upstream)];
+  ++Entry.Outstanding;
+  std::erase_if(Entry.Dispatches,
+                [&](time_point At) { return Now - At > DispatchMemory; });
+  Entry.Dispatches.push_back(Now);
+  if (Request.PrefixHash == 0)
+    return;
+  std::erase(Entry.Prefixes, Request.PrefixHash);
+  Entry.Prefixes.push_back(Request.PrefixHash);
+  if (Entry.Prefixes.size() > Options.PrefixesPerUpstream)
+    Entry.Prefixes.erase(Entry.Prefixes.begin());
+}
+
+void router::onFinish(std::string_view Upstream, const route_request &Request,
+                      milliseconds Elapsed, time_point Now) {
+  onAbandon(Upstream, Request, Now);
+  if (Request.Work <= 0)
+    return;
+  learned &Entry = Learned[std::string(Upstream)];
+  const double Sample = double(Elapsed.count()) / Request.Work;
+  if (Entry.MsPerWork <= 0) {
+    Entry.MsPerWork = Sample;
+    return;
+  }
+  Entry.MsPerWork += Options.SpeedGain * (Sample - Entry.MsPerWork);
+}
+
+void router::onAbandon(std::string_view Upstream, const route_request &Request,
+                       time_point Now) {
+  learned &Entry = Learned[std::string(Upstream)];
+  if (Entry.Outstanding > 0)
+    --Entry.Outstanding;
+}
+
+} // namespace cardamom
--- /dev/null
+++ b/policy/router_test.cpp
@@ -0,0 +1,52 @@
+#include "policy/router.h"
+
+#include <cppunit/extensions/HelperMacros.h>
+
+namespace cardamom {
+
+class router_test : public CppUnit::TestFixture {
+  CPPUNIT_TEST_SUITE(router_test);
+  CPPUNIT_TEST(skipsDrainingAndDisconnected);
+  CPPUNIT_TEST(prefersFasterUpstream);
+  CPPUNIT_TEST(countsOwnDispatchesSinceReport);
+  CPPUNIT_TEST_SUITE_END();
+
+  static upstream_view view(std::string Name) {
+    return {.Name = std::move(Name), .Connected = true, .Slots = 2};
+  }
+
+public:
+  // Guards against new work for an upstream that is leaving or unreachable.
+  void skipsDrainingAndDisconnected() {
+    router Router({});
+    std::vector<upstream_view> Views = {view("a"), view("b"), view("c")};
+    Views[0].Draining = true;
+    Views[1].Connected = false;
+    CPPUNIT_ASSERT_EQUAL(size_t(2), *Router.pick({}, Views, {}));
+    Views[2].Ready = false;
+    CPPUNIT_ASSERT(!Router.pick({}, Views, {}).has_value());
+  }
+
+  // Guards against slow back ends getting an equal share.
+  void prefersFasterUpstream() {
+    router Router({});
+    std::vector<upstream_view> Views = {view("slow"), view("fast")};
+    Router.onFinish("slow", {}, milliseconds(100), {});
+    Router.onFinish("fast", {}, milliseconds(10), {});
+    CPPUNIT_ASSERT_EQUAL(size_t(1), *Router.pick({}, Views, {}));
+  }
+
+  // Guards against several requests that follow one stale load report.
+  void countsOwnDispatchesSinceReport() {
+    router Router({});
+    std::vector<upstream_view> Views = {view("a"), view("b")};
+    const time_point Now = time_point() + milliseconds(10);
+    for (int I = 0; I < 2; ++I)
+      Router.onDispatch("a", {}, Now);
+    CPPUNIT_ASSERT_EQUAL(size_t(1), *Router.pick({}, Views, Now));
+  }
+};
+
+CPPUNIT_TEST_SUITE_NAMED_REGISTRATION(router_test, "router_test");
+
+} // namespace cardamom
--- /dev/null
+++ b/scripts/lint.sh
@@ -0,0 +1,13 @@
+#!/usr/bin/env bash
+# Runs clang-tidy on the files given, or on every source file of the project.
+# Needs a configured build folder (first argument: its path).
+set -euo pipefail
+cd "$(dirname "$0")/.."
+build=$1
+shift
+files=("$@")
+if [ ${#files[@]} -eq 0 ]; then
+  mapfile -t files < <(git ls-files -co --exclude-standard '*.cpp' | grep -v '^fuzz/')
+fi
+printf '%s\0' "${files[@]}" |
+  xargs -0 -P "${LINT_JOBS:-$(nproc)}" -n 2 clang-tidy --quiet -p "$build" 2> >(grep -v 'warnings generated\|Suppressed\|Use -header-filter' >&2 || true)
--- /dev/null
+++ b/scripts/test.sh
@@ -0,0 +1,41 @@
+#!/usr/bin/env bash
+# Formatter check, linter, all tests, then the tests again under the address
+# and undefined-behaviour sanitizers, the threaded ones under the thread
+# sanitizer, and a bounded run of each fuzz target. Ends with ctest's closing
+# lines of the plain build.
+set -euo pipefail
+cd "$(dirname "$0")/.."
+jobs=${JOBS:-$(nproc)}
+
+configure() {
+  local dir=$1
+  shift
+  cmake -S . -B "$dir" -G Ninja "$@" >"$dir.configure.log" 2>&1 || { cat "$dir.configure.log"; return 1; }
+}
+
+mkdir -p build
+echo "== formatter"
+scripts/check-format.sh
+
+echo "== build"
+configure build
+cmake --build build -j "$jobs" | tail -n 1
+
+echo "== linter"
+scripts/lint.sh build
+
+echo "== address and undefined-behaviour sanitizers"
+configure build-asan -DCARDAMOM_SANITIZE=address
+cmake --build build-asan -j "$jobs" | tail -n 1
+ctest --test-dir build-asan -j 4 --output-on-failure -LE process
+
+echo "== thread sanitizer"
+configure build-tsan -DCARDAMOM_SANITIZE=thread
+cmake --build build-tsan -j "$jobs" | tail -n 1
+ctest --test-dir build-tsan -j 4 --output-on-failure -L thread
+
+echo "== fuzz targets"
+scripts/fuzz.sh
+
+echo "== tests"
+ctest --test-dir build -j 4 --output-on-failure
