Scale own dispatches by the number of entries when routing

Change: each own dispatch since the last load report stands for as many dispatches as there are entries. Conclusion: keep the scaling and compare all candidates.

--- a/policy/router.cpp
+++ b/policy/router.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <limits>
+#include <numeric>
 #include <utility>
 
 namespace cardamom {
@@ -46,7 +47,8 @@
         std::count_if(Entry.Dispatches.begin(), Entry.Dispatches.end(),
                       [&](time_point At) { return At > Candidate.LoadAt; });
     // The report lags: own dispatches after it are not in it yet.
-    Occupied = std::max<double>(Occupied + double(Newer), Entry.Outstanding);
+    Occupied = std::max<double>(Occupied + double(Newer) * Options.Entries,
+                                Entry.Outstanding);
     if (Request.PrefixHash != 0 &&
         std::find(Entry.Prefixes.begin(), Entry.Prefixes.end(),
                   Request.PrefixHash) != Entry.Prefixes.end())
@@ -65,12 +67,19 @@
   // Equal costs are common while nothing is known; the random start spreads
   // several entries over the candidates.
   const size_t Count = Candidates.size();
-  const size_t Start =
-      Options.Random ? size_t(Options.Random() * double(Count)) : 0;
+  std::vector<size_t> Order(Count);
+  std::iota(Order.begin(), Order.end(), size_t(0));
+  if (Options.Random)
+    for (size_t I = 0; I + 1 < Count; ++I)
+      std::swap(Order[I],
+                Order[I + size_t(Options.Random() * double(Count - I))]);
+  size_t Compared = 0;
   for (size_t I = 0; I < Count; ++I) {
-    const size_t Index = (Start + I) % Count;
+    const size_t Index = Order[I];
     if (!eligible(Request, Candidates[Index]))
       continue;
+    if (Options.SampleSize != 0 && Compared++ == Options.SampleSize)
+      break;
     const double Cost = predictMs(Request, Candidates[Index], Now);
     if (Cost >= BestCost)
       continue;
--- a/policy/router.h
+++ b/policy/router.h
@@ -61,6 +61,11 @@
   double SpeedGain = 0.2;
   /// Fraction of work that a cached prefix saves.
   double PrefixSaving = 0.3;
+  /// Candidates that pick() compares, drawn at random; 0 = all of them.
+  size_t SampleSize = 0;
+  /// Entries that send to the same upstreams. Own dispatches since the last
+  /// load report are taken as this fraction of all.
+  double Entries = 1;
   /// Prefixes remembered per upstream.
   size_t PrefixesPerUpstream = 256;
 };
--- a/policy/router_test.cpp
+++ b/policy/router_test.cpp
@@ -9,6 +9,8 @@
   CPPUNIT_TEST(skipsDrainingAndDisconnected);
   CPPUNIT_TEST(prefersFasterUpstream);
   CPPUNIT_TEST(countsOwnDispatchesSinceReport);
+  CPPUNIT_TEST(scalesOwnDispatchesByEntries);
+  CPPUNIT_TEST(leavesCachedPrefixOnBusyUpstream);
   CPPUNIT_TEST_SUITE_END();
 
   static upstream_view view(std::string Name) {
@@ -45,6 +47,31 @@
       Router.onDispatch("a", {}, Now);
     CPPUNIT_ASSERT_EQUAL(size_t(1), *Router.pick({}, Views, Now));
   }
+
+  // Guards against herding: with four entries, one own dispatch since the
+  // report stands for four, which fills a slot count of two.
+  void scalesOwnDispatchesByEntries() {
+    router Router({.Entries = 4});
+    std::vector<upstream_view> Views = {view("a"), view("b")};
+    Views[1].Running = 2;
+    const time_point Now = time_point() + milliseconds(10);
+    Router.onDispatch("a", {}, Now);
+    CPPUNIT_ASSERT_EQUAL(size_t(1), *Router.pick({}, Views, Now));
+  }
+
+  // Guards against an upstream that a popular prefix overloads.
+  void leavesCachedPrefixOnBusyUpstream() {
+    router Router({});
+    std::vector<upstream_view> Views = {view("cached"), view("other")};
+    const route_request Request{.PrefixHash = 7};
+    const time_point Now = time_point() + milliseconds(10);
+    Router.onDispatch("cached", Request, Now);
+    Router.onAbandon("cached", Request, Now);
+    Views[0].LoadAt = Views[1].LoadAt = Now + milliseconds(1);
+    CPPUNIT_ASSERT_EQUAL(size_t(0), *Router.pick(Request, Views, Now));
+    Views[0].Running = 4;
+    CPPUNIT_ASSERT_EQUAL(size_t(1), *Router.pick(Request, Views, Now));
+  }
 };
 
 CPPUNIT_TEST_SUITE_NAMED_REGISTRATION(router_test, "router_test");
