--- /dev/null
+++ b/process_tests/whole_path_test.py
@@ -0,0 +1,115 @@
+"""The whole path as separate processes, without faults."""
+
+import http.client
+import json
+import subprocess
+import unittest
+
+from processes import BUILD, Cluster, http_call, http_json, metric
+from workload import DepositCallers, check_deposits, direct_completion, service_runs, stream_completion
+
+
+class WholePathTest(unittest.TestCase):
+    @classmethod
+    def setUpClass(cls):
+        cls.cluster = Cluster()
+        cls.cluster.__enter__()
+
+    @classmethod
+    def tearDownClass(cls):
+        cls.cluster.__exit__(None, None, None)
+
+    def entry(self):
+        return self.cluster.entries[0]["http"]
+
+    def test_plain_call_passes_through_whole(self):
+        """Guards against a lost or altered method, path, header or body."""
+        status, headers, body = http_call(self.entry(), "GET", "/counter/lots/7?page=2",
+                                          headers={"X-Lot": "7"})
+        answer = json.loads(body)
+        self.assertEqual((200, "GET"), (status, answer["method"]))
+        self.assertEqual("/counter/lots/7?page=2", answer["path"])
+        self.assertIn("X-Request-Id", headers)
+
+    def test_large_answer_is_whole(self):
+        """Guards against an answer that is cut at a buffer or window size."""
+        wanted = 3 * 1024 * 1024
+        status, _, body = http_call(self.entry(), "POST", "/counter/notes",
+                                    {"id": "large", "answer_bytes": wanted}, timeout=30)
+        self.assertEqual(200, status)
+        self.assertGreaterEqual(len(body), wanted)
+
+    def test_completion_equals_the_engines_own(self):
+        """Guards against lost, doubled or reordered tokens."""
+        engine = next(u for u in self.cluster.upstreams if u.kind == "model").address
+        expected = direct_completion(engine, "seal the attic", 40)
+        text, done, error = stream_completion(self.entry(), "seal the attic", 40)
+        self.assertEqual((expected, True, None), (text, done, error))
+        status, answer = http_json(self.entry(), "POST", "/v1/completions",
+                                   {"model": "notes", "prompt": "seal the attic", "max_tokens": 40})
+        self.assertEqual((200, expected), (status, answer["choices"][0]["text"]))
+
+    def test_deposits_run_once(self):
+        """Guards against lost or doubled deposits without any fault."""
+        callers = DepositCallers(self.cluster.entries, "plain", deposits_each=10).start().join()
+        counts = check_deposits(self, callers, service_runs(self.cluster.upstreams))
+        self.assertEqual(40, counts["ok"], callers.refusals)
+
+    def test_repeated_key_returns_the_same_answer(self):
+        """Guards against a second run through another entry."""
+        answers = []
+        for entry in self.cluster.entries:
+            status, _, body = http_call(entry["http"], "POST", "/counter/deposits", {"id": "twice"},
+                                        {"Idempotency-Key": "twice"})
+            self.assertEqual(200, status, body)
+            answers.append(body)
+        self.assertEqual(answers[0], answers[1])
+        self.assertEqual(1, service_runs(self.cluster.upstreams)["twice"])
+
+    def test_trainer_step(self):
+        """Guards against missing, doubled, stale or mislabelled samples."""
+        done = subprocess.run(
+            [BUILD / "standin_trainer", "--entry", self.entry(), "--entry", self.cluster.entries[1]["http"],
+             "--trainer", "t1", "--steps", "2", "--groups", "4", "--samples-per-group", "4",
+             "--max-tokens", "20", "--publish", "--weights-source", self.cluster.weights],
+            capture_output=True, text=True, timeout=60)
+        self.assertEqual(0, done.returncode, done.stdout + done.stderr)
+        steps = [json.loads(line) for line in done.stdout.splitlines() if line.startswith("{")]
+        self.assertEqual([16, 16], [s["samples"] for s in steps])
+        for step in steps:
+            self.assertEqual((0, 0, 0), (step["duplicates"], step["stale"], step["mislabelled"]), step)
+
+    def test_bad_input_is_refused_with_a_reason(self):
+        """Guards against crashes and vague errors on malformed requests."""
+        entry = self.entry()
+        cases = [
+            ("POST", "/v1/completions", "{", 400),
+            ("POST", "/v1/completions", json.dumps({"model": "notes", "prompt": 7}), 400),
+            ("POST", "/v1/completions", json.dumps({"model": "absent", "prompt": "x", "max_tokens": 1}), 404),
+            ("GET", "/absent", None, 404),
+            ("POST", "/v1/trainers/absent/steps/1/draw", "{}", 404),
+        ]
+        for method, path, body, expected in cases:
+            status, headers, data = http_call(entry, method, path, body)
+            self.assertEqual(expected, status, (method, path, data))
+            error = json.loads(data)["error"]
+            self.assertTrue(error["reason"], data)
+            self.assertEqual("not-run", headers["Cardamom-Verdict"])
+        status, headers, data = http_call(entry, "POST", "/counter/deposits", {"id": "bad-key"},
+                                          {"Idempotency-Key": "k" * 500})
+        self.assertEqual(400, status, data)
+        self.assertNotIn("bad-key", service_runs(self.cluster.upstreams))
+        self.assertGreaterEqual(metric(entry, "requests_refused_total"), 6)
+
+    def test_oversized_body_is_refused(self):
+        """Guards against unbounded memory for one request."""
+        try:
+            status, _, _ = http_call(self.entry(), "POST", "/counter/notes", b"x" * (5 * 1024 * 1024), timeout=30)
+        except (OSError, http.client.HTTPException):
+            status = 413  # The server may close the connection before the body has been sent.
+        self.assertEqual(413, status)
+        self.assertEqual(200, http_call(self.entry(), "GET", "/healthz")[0])
+
+
+if __name__ == "__main__":
+    unittest.main()
