Add the inner protocol: server, client and document exchange

Cause: the headers of the inner protocol had no implementation, and the agent and the entry build on them.

Change: HTTP/2 cleartext connections (nghttp2) on one epoll thread for a server and one for a client; hello with epoch fencing, silence detection, reconnect with jittered back-off, 256 KiB stream windows and counters. Hooks in the option structs default to none. document_exchange::handle() takes the present time, because it asks only one peer at a time.

Conclusion: basic client and server work; epoch fencing, silence and back-pressure are not tested yet.

--- /dev/null
+++ b/inner/client_peer.h
@@ -0,0 +1,61 @@
+/// \file
+/// State that inner_client keeps of one peer and its present connection.
+
+#ifndef CARDAMOM_INNER_CLIENT_PEER_H
+#define CARDAMOM_INNER_CLIENT_PEER_H
+
+#include "inner/http2_connection.h"
+#include "inner/inner_client.h"
+
+#include <cstdint>
+#include <memory>
+#include <string>
+#include <unordered_map>
+#include <vector>
+
+namespace cardamom {
+
+struct client_peer;
+
+/// One request of the owner.
+struct client_stream {
+  inner_client::stream_id Id = 0;
+  client_peer *Peer = nullptr;
+  /// Stream of the connection; 0 while the request waits for hello_ok.
+  int32_t Http2Id = 0;
+  std::string Path;
+  std::shared_ptr<outbound_queue> Body;
+  stream_hooks Hooks;
+  bool Held = false;
+  /// The server has ended its side.
+  bool Ended = false;
+};
+
+struct client_peer {
+  enum class phase { Waiting, Connecting, AwaitHello, Up };
+
+  std::string Address;
+  socket_address Target;
+  phase Phase = phase::Waiting;
+  /// Identifies the present connection in the loop; 0 in phase Waiting.
+  uint64_t ConnectionId = 0;
+  /// Phase Connecting: the socket without HTTP/2.
+  unique_fd Socket;
+  std::unique_ptr<http2_connection> Http2;
+  /// When phase Waiting ends, or Connecting or AwaitHello fails.
+  time_point Deadline;
+  uint64_t Epoch = 0;
+  peer_identity Identity;
+  unsigned FailedAttempts = 0;
+  int32_t ControlStream = 0;
+  std::shared_ptr<outbound_queue> Control;
+  /// Requests that wait for hello_ok, in the order of the calls.
+  std::vector<std::shared_ptr<client_stream>> Queued;
+  std::unordered_map<int32_t, std::shared_ptr<client_stream>> Streams;
+  bool WatchesWrite = false;
+  bool NeedsFlush = false;
+};
+
+} // namespace cardamom
+
+#endif // CARDAMOM_INNER_CLIENT_PEER_H
--- /dev/null
+++ b/inner/document_exchange.cpp
@@ -0,0 +1,136 @@
+#include "inner/document_exchange.h"
+
+#include "base/invariant.h"
+#include "base/log.h"
+#include "base/metrics.h"
+#include "inner/gen/messages.pb.h"
+
+#include <exception>
+#include <utility>
+
+namespace cardamom {
+
+// An answer takes a few milliseconds; a peer that has not answered by then may
+// be silent, and another one is asked at its next heartbeat.
+static constexpr milliseconds AskAgainAfter{500};
+// Copies of other peers are most likely as bad.
+static constexpr milliseconds AskAgainAfterReject{10000};
+
+document_exchange::document_exchange(document_exchange_options Options)
+    : Options(std::move(Options)) {}
+
+bool document_exchange::install(versioned_document Document) {
+  std::lock_guard InstallLock(InstallMutex);
+  const uint64_t Held = version(Document.Name);
+  if (Document.Version <= Held)
+    return false;
+  if (Options.Validate)
+    Options.Validate(Document);
+  {
+    std::lock_guard Lock(Mutex);
+    versioned_document &Place = Documents[Document.Name];
+    CARDAMOM_INVARIANT(Document.Version > Place.Version,
+                       "the version of a document never falls");
+    Place = Document;
+  }
+  metrics::get().counter("documents_installed_total").add();
+  if (Options.OnInstall)
+    Options.OnInstall(Document);
+  return true;
+}
+
+uint64_t document_exchange::version(std::string_view Name) const {
+  std::lock_guard Lock(Mutex);
+  const auto It = Documents.find(Name);
+  return It == Documents.end() ? 0 : It->second.Version;
+}
+
+std::optional<versioned_document>
+document_exchange::get(std::string_view Name) const {
+  std::lock_guard Lock(Mutex);
+  const auto It = Documents.find(Name);
+  if (It == Documents.end())
+    return std::nullopt;
+  return It->second;
+}
+
+void document_exchange::addVersions(wire::heartbeat &Heartbeat) const {
+  std::lock_guard Lock(Mutex);
+  for (const auto &[Name, Document] : Documents) {
+    wire::document_version &Entry = *Heartbeat.add_documents();
+    Entry.set_name(Name);
+    Entry.set_version(Document.Version);
+  }
+}
+
+// A heartbeat with a newer version comes from each peer that has installed it:
+// without a limit, an entry would load the document from all of its agents.
+bool document_exchange::mayAsk(const std::string &Name, uint64_t Version,
+                               time_point Now) {
+  std::lock_guard Lock(Mutex);
+  asked_version &Last = Asked[Name];
+  if (Version <= Last.Version && Now < Last.Until)
+    return false;
+  Last = {.Version = Version, .Until = Now + AskAgainAfter};
+  return true;
+}
+
+std::vector<wire::control_frame>
+document_exchange::requestNewer(const wire::heartbeat &Heartbeat,
+                                time_point Now) {
+  std::vector<wire::control_frame> Replies;
+  for (const wire::document_version &Entry : Heartbeat.documents()) {
+    if (Entry.version() <= version(Entry.name()) ||
+        !mayAsk(Entry.name(), Entry.version(), Now))
+      continue;
+    Replies.emplace_back().mutable_document_request()->set_name(Entry.name());
+  }
+  return Replies;
+}
+
+std::vector<wire::control_frame>
+document_exchange::answerRequest(const std::string &Name) const {
+  std::vector<wire::control_frame> Replies;
+  if (auto Held = get(Name)) {
+    wire::document &Document = *Replies.emplace_back().mutable_document();
+    Document.set_name(Held->Name);
+    Document.set_version(Held->Version);
+    Document.set_body(std::move(Held->Body));
+  }
+  return Replies;
+}
+
+void document_exchange::installReceived(const wire::document &Document,
+                                        time_point Now) {
+  try {
+    install({.Name = Document.name(),
+             .Version = Document.version(),
+             .Body = Document.body()});
+  } catch (const std::exception &Error) {
+    metrics::get().counter("documents_rejected_total").add();
+    logFault("document_rejected",
+             {{"name", Document.name()},
+              {"version", std::to_string(Document.version())},
+              {"error", Error.what()}});
+    std::lock_guard Lock(Mutex);
+    Asked[Document.name()] = {.Version = Document.version(),
+                              .Until = Now + AskAgainAfterReject};
+  }
+}
+
+std::vector<wire::control_frame>
+document_exchange::handle(const wire::control_frame &Frame, time_point Now) {
+  switch (Frame.body_case()) {
+  case wire::control_frame::kHeartbeat:
+    return requestNewer(Frame.heartbeat(), Now);
+  case wire::control_frame::kDocumentRequest:
+    return answerRequest(Frame.document_request().name());
+  case wire::control_frame::kDocument:
+    installReceived(Frame.document(), Now);
+    return {};
+  default:
+    return {};
+  }
+}
+
+} // namespace cardamom
--- a/inner/document_exchange.h
+++ b/inner/document_exchange.h
@@ -13,6 +13,8 @@
 #ifndef CARDAMOM_INNER_DOCUMENT_EXCHANGE_H
 #define CARDAMOM_INNER_DOCUMENT_EXCHANGE_H
 
+#include "base/time.h"
+
 #include <cstdint>
 #include <functional>
 #include <map>
@@ -26,6 +28,7 @@
 
 namespace wire {
 class control_frame;
+class document;
 class heartbeat;
 } // namespace wire
 
@@ -38,10 +41,10 @@
 struct document_exchange_options {
   /// Checks a document before it is installed; throws on a bad one, which is
   /// then neither installed nor passed on.
-  std::function<void(const versioned_document &Document)> Validate;
+  std::function<void(const versioned_document &Document)> Validate = {};
   /// Called after each install, outside the lock, in the order of versions of
-  /// one name.
-  std::function<void(const versioned_document &Document)> OnInstall;
+  /// one name. Must not call install().
+  std::function<void(const versioned_document &Document)> OnInstall = {};
 };
 
 class document_exchange {
@@ -59,15 +62,31 @@
   void addVersions(wire::heartbeat &Heartbeat) const;
   /// Handles a heartbeat, document_request or document of a peer. Returns the
   /// frames to send back on the same control stream. A bad document is
-  /// counted, logged and dropped.
-  std::vector<wire::control_frame> handle(const wire::control_frame &Frame);
+  /// counted, logged and dropped. Of several peers that hold a newer version
+  /// only one is asked at a time.
+  std::vector<wire::control_frame> handle(const wire::control_frame &Frame,
+                                          time_point Now = steady_clock::now());
 
 private:
+  /// The last request for a document.
+  struct asked_version {
+    uint64_t Version = 0;
+    /// Until then no other peer is asked for this version or a lower one.
+    time_point Until;
+  };
+
+  std::vector<wire::control_frame>
+  requestNewer(const wire::heartbeat &Heartbeat, time_point Now);
+  std::vector<wire::control_frame> answerRequest(const std::string &Name) const;
+  void installReceived(const wire::document &Document, time_point Now);
+  bool mayAsk(const std::string &Name, uint64_t Version, time_point Now);
+
   document_exchange_options Options;
   mutable std::mutex Mutex;
   /// Serialises installs, so that OnInstall sees rising versions.
   std::mutex InstallMutex;
   std::map<std::string, versioned_document, std::less<>> Documents;
+  std::map<std::string, asked_version, std::less<>> Asked;
 };
 
 } // namespace cardamom
--- /dev/null
+++ b/inner/http2_connection.cpp
@@ -0,0 +1,416 @@
+#include "inner/http2_connection.h"
+
+#include "base/log.h"
+#include "base/metrics.h"
+
+#include <algorithm>
+#include <array>
+#include <cerrno>
+#include <nghttp2/nghttp2.h>
+#include <stdexcept>
+#include <sys/socket.h>
+
+namespace cardamom {
+
+static constexpr size_t ReadBytes = size_t(64) << 10;
+// Reads of one connection before others get their turn.
+static constexpr int MaxReads = 4;
+// Bytes taken from nghttp2 before they are written. Requests in this buffer
+// have not been handed to the socket.
+static constexpr size_t WriteBytes = size_t(64) << 10;
+// Streams have their own windows; that of the connection is not to limit them.
+static constexpr int32_t ConnectionWindowBytes = 16 << 20;
+// Resets by trusted peers: an entry may cancel all its runs at once.
+static constexpr uint64_t ResetBurst = 4 * uint64_t(MaxStreams);
+static constexpr uint64_t ResetsPerSecond = MaxStreams;
+
+// Runs Body between nghttp2 and a hook: exceptions must not pass through C.
+template <typename F> static int guarded(http2_connection &Connection, F Body) {
+  try {
+    Body();
+  } catch (const frame_error &) {
+    Connection.fail("malformed_frame");
+  } catch (const std::exception &Error) {
+    logFault("inner_hook_failed", {{"error", Error.what()}});
+    Connection.fail("hook_failed");
+  }
+  return Connection.failed() ? NGHTTP2_ERR_CALLBACK_FAILURE : 0;
+}
+
+/// The callbacks of nghttp2; UserData is the connection.
+struct http2_callbacks {
+  static http2_connection &self(void *UserData) {
+    return *static_cast<http2_connection *>(UserData);
+  }
+
+  static bool isRequest(const nghttp2_frame *Frame) {
+    return Frame->hd.type == NGHTTP2_HEADERS &&
+           Frame->headers.cat == NGHTTP2_HCAT_REQUEST;
+  }
+
+  static int onBeginHeaders(nghttp2_session *, const nghttp2_frame *Frame,
+                            void *UserData) {
+    if (!isRequest(Frame))
+      return 0;
+    http2_connection &Self = self(UserData);
+    return guarded(Self, [&] { Self.Streams[Frame->hd.stream_id]; });
+  }
+
+  static int onHeader(nghttp2_session *, const nghttp2_frame *Frame,
+                      const uint8_t *Name, size_t NameLength,
+                      const uint8_t *Value, size_t ValueLength, uint8_t,
+                      void *UserData) {
+    const std::string_view Key(reinterpret_cast<const char *>(Name),
+                               NameLength);
+    if (!isRequest(Frame) || Key != ":path")
+      return 0;
+    http2_connection &Self = self(UserData);
+    return guarded(Self, [&] {
+      Self.Streams[Frame->hd.stream_id].Path.assign(
+          reinterpret_cast<const char *>(Value), ValueLength);
+    });
+  }
+
+  static int onFrameRecv(nghttp2_session *, const nghttp2_frame *Frame,
+                         void *UserData) {
+    http2_connection &Self = self(UserData);
+    const int32_t Id = Frame->hd.stream_id;
+    return guarded(Self, [&] {
+      if (Frame->hd.type == NGHTTP2_GOAWAY)
+        Self.fail("goaway");
+      if (isRequest(Frame))
+        Self.Hooks.OnRequest(Id, std::string(Self.Streams[Id].Path));
+      const bool Carrier =
+          Frame->hd.type == NGHTTP2_HEADERS || Frame->hd.type == NGHTTP2_DATA;
+      if (Carrier && (Frame->hd.flags & NGHTTP2_FLAG_END_STREAM) != 0 &&
+          !Self.failed())
+        Self.endOfMessages(Id);
+    });
+  }
+
+  static int onInvalidFrame(nghttp2_session *, const nghttp2_frame *, int,
+                            void *UserData) {
+    self(UserData).fail("malformed_http2");
+    return NGHTTP2_ERR_CALLBACK_FAILURE;
+  }
+
+  static int onData(nghttp2_session *, uint8_t, int32_t Id, const uint8_t *Data,
+                    size_t Length, void *UserData) {
+    http2_connection &Self = self(UserData);
+    const std::string_view Bytes(reinterpret_cast<const char *>(Data), Length);
+    return guarded(Self, [&] { Self.takeData(Id, Bytes); });
+  }
+
+  static int onStreamClose(nghttp2_session *, int32_t Id, uint32_t ErrorCode,
+                           void *UserData) {
+    http2_connection &Self = self(UserData);
+    if (!Self.Streams.contains(Id))
+      return 0;
+    const bool Produced = Self.produced(Id);
+    Self.Streams.erase(Id);
+    return guarded(Self, [&] {
+      Self.Hooks.OnStreamClose(Id, ErrorCode == NGHTTP2_NO_ERROR, Produced);
+    });
+  }
+
+  static int beforeFrameSend(nghttp2_session *, const nghttp2_frame *Frame,
+                             void *UserData) {
+    if (!isRequest(Frame))
+      return 0;
+    http2_connection &Self = self(UserData);
+    const auto It = Self.Streams.find(Frame->hd.stream_id);
+    if (It != Self.Streams.end())
+      It->second.FirstByte = Self.Produced;
+    return 0;
+  }
+
+  static ssize_t readBody(nghttp2_session *, int32_t Id, uint8_t *Out,
+                          size_t Length, uint32_t *Flags,
+                          nghttp2_data_source *Source, void *UserData) {
+    http2_connection &Self = self(UserData);
+    auto *Queue = static_cast<outbound_queue *>(Source->ptr);
+    const outbound_queue::taken Taken = Queue->take({Out, Length});
+    if (Taken.Last)
+      *Flags |= NGHTTP2_DATA_FLAG_EOF;
+    if (Taken.Writable &&
+        guarded(Self, [&] { Self.Hooks.OnWritable(Id); }) != 0)
+      return NGHTTP2_ERR_CALLBACK_FAILURE;
+    if (Taken.Bytes == 0 && !Taken.Last)
+      return NGHTTP2_ERR_DEFERRED;
+    return static_cast<ssize_t>(Taken.Bytes);
+  }
+};
+
+namespace {
+/// The callbacks and options of one side, shared by all its sessions.
+class session_settings {
+public:
+  session_settings() {
+    if (nghttp2_session_callbacks_new(&Callbacks) != 0 ||
+        nghttp2_option_new(&Option) != 0)
+      throw std::bad_alloc();
+    using c = http2_callbacks;
+    nghttp2_session_callbacks_set_on_begin_headers_callback(Callbacks,
+                                                            c::onBeginHeaders);
+    nghttp2_session_callbacks_set_on_header_callback(Callbacks, c::onHeader);
+    nghttp2_session_callbacks_set_on_frame_recv_callback(Callbacks,
+                                                         c::onFrameRecv);
+    nghttp2_session_callbacks_set_on_invalid_frame_recv_callback(
+        Callbacks, c::onInvalidFrame);
+    nghttp2_session_callbacks_set_on_data_chunk_recv_callback(Callbacks,
+                                                              c::onData);
+    nghttp2_session_callbacks_set_on_stream_close_callback(Callbacks,
+                                                           c::onStreamClose);
+    nghttp2_session_callbacks_set_before_frame_send_callback(
+        Callbacks, c::beforeFrameSend);
+    nghttp2_option_set_no_auto_window_update(Option, 1);
+    nghttp2_option_set_stream_reset_rate_limit(Option, ResetBurst,
+                                               ResetsPerSecond);
+    // Closed streams are of no use without priorities and would be kept.
+    nghttp2_option_set_no_closed_streams(Option, 1);
+  }
+  ~session_settings() {
+    nghttp2_session_callbacks_del(Callbacks);
+    nghttp2_option_del(Option);
+  }
+  session_settings(const session_settings &) = delete;
+  session_settings &operator=(const session_settings &) = delete;
+
+  nghttp2_session *create(http2_side Side, void *UserData) const {
+    nghttp2_session *Session = nullptr;
+    const auto Make = Side == http2_side::Client ? nghttp2_session_client_new2
+                                                 : nghttp2_session_server_new2;
+    if (Make(&Session, Callbacks, UserData, Option) != 0)
+      throw std::bad_alloc();
+    return Session;
+  }
+
+private:
+  nghttp2_session_callbacks *Callbacks = nullptr;
+  nghttp2_option *Option = nullptr;
+};
+} // namespace
+
+http2_connection::http2_connection(unique_fd Socket,
+                                   http2_connection_options Options)
+    : Socket(std::move(Socket)), Hooks(std::move(Options.Hooks)),
+      LastReceived(Options.Now) {
+  static const session_settings Settings;
+  Session = Settings.create(Options.Side, this);
+  const std::array<nghttp2_settings_entry, 3> Entries = {{
+      {NGHTTP2_SETTINGS_MAX_CONCURRENT_STREAMS, MaxStreams},
+      {NGHTTP2_SETTINGS_INITIAL_WINDOW_SIZE, StreamWindowBytes},
+      {NGHTTP2_SETTINGS_ENABLE_PUSH, 0},
+  }};
+  nghttp2_submit_settings(Session, NGHTTP2_FLAG_NONE, Entries.data(),
+                          Entries.size());
+  nghttp2_session_set_local_window_size(Session, NGHTTP2_FLAG_NONE, 0,
+                                        ConnectionWindowBytes);
+}
+
+http2_connection::~http2_connection() { nghttp2_session_del(Session); }
+
+void http2_connection::fail(std::string_view Reason) {
+  if (Failure.empty())
+    Failure = Reason;
+}
+
+void http2_connection::receive(time_point Now) {
+  static thread_local std::array<char, ReadBytes> Buffer;
+  for (int I = 0; I < MaxReads && !failed(); ++I) {
+    const ssize_t Got = ::recv(fd(), Buffer.data(), Buffer.size(), 0);
+    if (Got == 0)
+      return fail("closed_by_peer");
+    if (Got < 0) {
+      if (errno != EAGAIN && errno != EINTR)
+        fail("connection_reset");
+      return;
+    }
+    LastReceived = Now;
+    const auto Length = static_cast<size_t>(Got);
+    feed({Buffer.data(), Length});
+    if (Length < Buffer.size())
+      return;
+  }
+}
+
+void http2_connection::feed(std::string_view Bytes) {
+  const ssize_t Used = nghttp2_session_mem_recv(
+      Session, reinterpret_cast<const uint8_t *>(Bytes.data()), Bytes.size());
+  if (Used < 0)
+    fail("malformed_http2");
+  if (Failure.starts_with("malformed"))
+    metrics::get().counter("inner_malformed_total", "kind", Failure).add();
+}
+
+void http2_connection::takeData(int32_t Id, std::string_view Bytes) {
+  nghttp2_session_consume_connection(Session, Bytes.size());
+  const auto It = Streams.find(Id);
+  if (It == Streams.end())
+    return;
+  stream &Stream = It->second;
+  Stream.Received += Bytes.size();
+  Stream.Decoder.append(Bytes, [&](std::string_view Message) {
+    if (failed())
+      return;
+    Stream.Allowed += FrameHeaderBytes;
+    Hooks.OnMessage(Id, Message);
+  });
+  openWindow(Id, Stream);
+}
+
+void http2_connection::openWindow(int32_t Id, stream &Stream) {
+  uint64_t Target = Stream.Held ? Stream.Allowed : Stream.Received;
+  // A message longer than the window can only be consumed once it is
+  // complete, so an incomplete one opens the window by itself.
+  const uint64_t Unconsumed = Stream.Received - Stream.Consumed;
+  if (Stream.Decoder.buffered() > 0 && Unconsumed >= StreamWindowBytes / 2)
+    Target = Stream.Received;
+  Target = std::min(Target, Stream.Received);
+  if (Target <= Stream.Consumed)
+    return;
+  nghttp2_session_consume_stream(Session, Id, Target - Stream.Consumed);
+  Stream.Consumed = Target;
+}
+
+void http2_connection::endOfMessages(int32_t Id) {
+  const auto It = Streams.find(Id);
+  if (It == Streams.end())
+    return;
+  if (It->second.Decoder.buffered() > 0)
+    throw frame_error("stream ends within a frame");
+  Hooks.OnRemoteEnd(Id);
+}
+
+void http2_connection::holdWindow(int32_t Stream) {
+  const auto It = Streams.find(Stream);
+  if (It == Streams.end() || It->second.Held)
+    return;
+  It->second.Held = true;
+  It->second.Allowed = It->second.Consumed;
+}
+
+void http2_connection::consume(int32_t Stream, size_t Bytes) {
+  const auto It = Streams.find(Stream);
+  if (It == Streams.end())
+    return;
+  It->second.Allowed += Bytes;
+  openWindow(Stream, It->second);
+}
+
+bool http2_connection::sent(int32_t Stream) const {
+  const auto It = Streams.find(Stream);
+  return It != Streams.end() && It->second.FirstByte < Written;
+}
+
+bool http2_connection::produced(int32_t Stream) const {
+  const auto It = Streams.find(Stream);
+  return It != Streams.end() && It->second.FirstByte != NotProduced;
+}
+
+static nghttp2_nv makeField(std::string_view Name, std::string_view Value) {
+  // nghttp2 takes pointers to mutable bytes but does not write to them.
+  const auto Bytes = [](std::string_view Text) {
+    return reinterpret_cast<uint8_t *>(const_cast<char *>(Text.data()));
+  };
+  return {Bytes(Name), Bytes(Value), Name.size(), Value.size(),
+          NGHTTP2_NV_FLAG_NONE};
+}
+
+static nghttp2_data_provider makeProvider(outbound_queue *Out) {
+  nghttp2_data_provider Provider = {};
+  Provider.source.ptr = Out;
+  Provider.read_callback = http2_callbacks::readBody;
+  return Provider;
+}
+
+int32_t http2_connection::request(std::string_view Path,
+                                  std::shared_ptr<outbound_queue> Out) {
+  const std::array<nghttp2_nv, 4> Fields = {
+      makeField(":method", "POST"), makeField(":scheme", "http"),
+      makeField(":authority", "inner"), makeField(":path", Path)};
+  const nghttp2_data_provider Provider = makeProvider(Out.get());
+  const int32_t Id = nghttp2_submit_request(Session, nullptr, Fields.data(),
+                                            Fields.size(), &Provider, nullptr);
+  if (Id < 0) {
+    fail("streams_exhausted");
+    return Id;
+  }
+  Streams[Id].Out = std::move(Out);
+  return Id;
+}
+
+void http2_connection::respond(int32_t Stream,
+                               std::shared_ptr<outbound_queue> Out) {
+  const auto It = Streams.find(Stream);
+  if (It == Streams.end())
+    return;
+  const std::array<nghttp2_nv, 1> Fields = {makeField(":status", "200")};
+  const nghttp2_data_provider Provider = makeProvider(Out.get());
+  nghttp2_submit_response(Session, Stream, Fields.data(), Fields.size(),
+                          &Provider);
+  It->second.Out = std::move(Out);
+}
+
+void http2_connection::resume(int32_t Stream) {
+  // Fails harmlessly when the stream is closed or not waiting for data.
+  nghttp2_session_resume_data(Session, Stream);
+}
+
+void http2_connection::reset(int32_t Stream) {
+  nghttp2_submit_rst_stream(Session, NGHTTP2_FLAG_NONE, Stream, NGHTTP2_CANCEL);
+}
+
+bool http2_connection::writeOut() {
+  while (!Unwritten.empty()) {
+    const ssize_t Put =
+        ::send(fd(), Unwritten.data(), Unwritten.size(), MSG_NOSIGNAL);
+    if (Put < 0) {
+      if (errno == EINTR)
+        continue;
+      if (errno != EAGAIN)
+        fail("connection_reset");
+      return false;
+    }
+    Written += static_cast<size_t>(Put);
+    Unwritten.erase(0, static_cast<size_t>(Put));
+  }
+  return true;
+}
+
+void http2_connection::writeBlocks() {
+  while (Unwritten.size() < WriteBytes) {
+    const uint8_t *Block = nullptr;
+    const ssize_t Length = nghttp2_session_mem_send(Session, &Block);
+    if (Length < 0)
+      return fail("internal_error");
+    if (Length == 0)
+      return;
+    Unwritten.append(reinterpret_cast<const char *>(Block),
+                     static_cast<size_t>(Length));
+    Produced += static_cast<size_t>(Length);
+  }
+}
+
+void http2_connection::flush() {
+  while (!failed() && writeOut()) {
+    writeBlocks();
+    if (Unwritten.empty())
+      break;
+  }
+  // An idle connection holds no buffer.
+  if (Unwritten.empty())
+    Unwritten.shrink_to_fit();
+  checkEnded();
+}
+
+// After a protocol error of the peer nghttp2 only sends GOAWAY.
+void http2_connection::checkEnded() {
+  if (failed() || nghttp2_session_want_read(Session) != 0 ||
+      nghttp2_session_want_write(Session) != 0)
+    return;
+  fail("malformed_http2");
+  metrics::get().counter("inner_malformed_total", "kind", Failure).add();
+}
+
+} // namespace cardamom
--- a/inner/inner_client.h
+++ b/inner/inner_client.h
@@ -44,9 +44,9 @@
 
 struct stream_hooks {
   /// One whole message of the server.
-  std::function<void(std::string_view Message)> OnMessage;
+  std::function<void(std::string_view Message)> OnMessage = {};
   /// Called exactly once, after the last OnMessage.
-  std::function<void(stream_end End, std::string_view Reason)> OnClose;
+  std::function<void(stream_end End, std::string_view Reason)> OnClose = {};
 };
 
 /// State of one peer as of now.
@@ -66,12 +66,12 @@
   peer_identity Self;
   std::function<void(std::string_view Address, const peer_identity &Peer,
                      uint64_t Epoch)>
-      OnPeerUp;
+      OnPeerUp = {};
   std::function<void(std::string_view Address, std::string_view Reason)>
-      OnPeerDown;
+      OnPeerDown = {};
   std::function<void(std::string_view Address, const peer_identity &Peer,
                      const wire::control_frame &Frame)>
-      OnControl;
+      OnControl = {};
   milliseconds SilenceLimit{3000};
   milliseconds ConnectTimeout{1000};
   /// Delay before a failed connect is tried again; doubles, with jitter, up to
--- a/inner/inner_server.h
+++ b/inner/inner_server.h
@@ -43,14 +43,14 @@
   /// the I/O thread. The stream may be kept and answered from any thread.
   std::function<void(std::shared_ptr<server_stream> Stream,
                      std::string_view Path, std::string_view Message)>
-      OnRequest;
+      OnRequest = {};
   /// A heartbeat or document frame of a peer whose hello was accepted.
   std::function<void(const peer_identity &Peer,
                      const wire::control_frame &Frame)>
-      OnControl;
-  std::function<void(const peer_identity &Peer, uint64_t Epoch)> OnPeerUp;
+      OnControl = {};
+  std::function<void(const peer_identity &Peer, uint64_t Epoch)> OnPeerUp = {};
   std::function<void(const peer_identity &Peer, std::string_view Reason)>
-      OnPeerDown;
+      OnPeerDown = {};
   /// A peer that sent nothing for this long is silent; its connection closes.
   milliseconds SilenceLimit{3000};
   size_t MaxConnections = 2048;
--- /dev/null
+++ b/inner/io_loop.h
@@ -0,0 +1,85 @@
+/// \file
+/// One thread that waits for sockets, timers and tasks (epoll and eventfd).
+///
+/// Use:
+///   io_loop Loop({.OnReady = ..., .OnTimer = ..., .OnBatchEnd = ...});
+///   Loop.start();
+///   Loop.post([] { ... });   // runs on the thread of the loop
+///   Loop.stop();
+
+#ifndef CARDAMOM_INNER_IO_LOOP_H
+#define CARDAMOM_INNER_IO_LOOP_H
+
+#include "base/time.h"
+#include "inner/socket.h"
+
+#include <atomic>
+#include <cstdint>
+#include <functional>
+#include <mutex>
+#include <thread>
+#include <vector>
+
+namespace cardamom {
+
+struct io_loop_options {
+  /// A watched socket is ready; Events are those of epoll.
+  std::function<void(uint64_t Id, uint32_t Events, time_point Now)> OnReady =
+      {};
+  /// The time set by setTimer() has passed. Returns the next one.
+  std::function<time_point(time_point Now)> OnTimer = {};
+  /// Sockets, timers and tasks that were ready have been handled.
+  std::function<void(time_point Now)> OnBatchEnd = {};
+};
+
+class io_loop {
+public:
+  using task = std::function<void(time_point Now)>;
+
+  explicit io_loop(io_loop_options Options);
+  /// Stops the loop.
+  ~io_loop();
+  io_loop(const io_loop &) = delete;
+  io_loop &operator=(const io_loop &) = delete;
+
+  void start();
+  /// Joins the thread, then runs the tasks left on this thread.
+  void stop();
+
+  /// Runs the task on the thread of the loop, in the order of the calls.
+  /// Returns false, without running it, after stop(). Thread-safe.
+  bool post(task Task);
+  /// Tasks that wait. Thread-safe.
+  [[nodiscard]] size_t waiting() const;
+
+  // The following are for the thread of the loop, or before start().
+
+  /// Id must be lower than 2^64 - 1.
+  void watch(int Fd, uint64_t Id, uint32_t Events);
+  void rewatch(int Fd, uint64_t Id, uint32_t Events);
+  void unwatch(int Fd);
+  /// Calls OnTimer at this time or earlier.
+  void setTimer(time_point At);
+
+private:
+  void run();
+  void handleEvents(time_point Now, int Timeout);
+  void runTasks(time_point Now);
+  [[nodiscard]] int timeoutMs(time_point Now) const;
+
+  io_loop_options Options;
+  unique_fd Epoll;
+  unique_fd Wake;
+  std::thread Thread;
+  std::atomic<bool> Stopping{false};
+  std::atomic<std::thread::id> LoopThread;
+  time_point Timer = time_point::max();
+
+  mutable std::mutex Mutex;
+  std::vector<task> Tasks;
+  bool Stopped = false;
+};
+
+} // namespace cardamom
+
+#endif // CARDAMOM_INNER_IO_LOOP_H
