--- /dev/null
+++ b/standins/object_table.cpp
@@ -0,0 +1,56 @@
+#include "standins/object_table.h"
+
+#include <utility>
+
+namespace standins {
+
+std::optional<object> object_table::get(std::string_view Key) const {
+  auto It = Entries.find(Key);
+  if (It == Entries.end())
+    return std::nullopt;
+  return object{It->first, It->second.Version, It->second.Value};
+}
+
+uint64_t object_table::version(std::string_view Key) const {
+  auto It = Entries.find(Key);
+  return It == Entries.end() ? 0 : It->second.Version;
+}
+
+std::vector<object> object_table::list(std::string_view Prefix) const {
+  std::vector<object> Found;
+  for (auto It = Entries.lower_bound(Prefix);
+       It != Entries.end() && It->first.starts_with(Prefix); ++It)
+    Found.push_back({It->first, It->second.Version, It->second.Value});
+  return Found;
+}
+
+write_result object_table::put(std::string_view Key, std::string Value,
+                               uint64_t IfVersion) {
+  auto It = Entries.find(Key);
+  uint64_t Present = It == Entries.end() ? 0 : It->second.Version;
+  if (Value.size() > Options.MaxValueBytes)
+    return {write_status::TooLarge, Present};
+  if (Present != IfVersion)
+    return {write_status::Conflict, Present};
+  size_t Freed = It == Entries.end() ? 0 : It->second.Value.size();
+  if (TotalBytes - Freed + Value.size() > Options.MaxTotalBytes)
+    return {write_status::TooLarge, Present};
+  TotalBytes = TotalBytes - Freed + Value.size();
+  if (It == Entries.end())
+    It = Entries.emplace(std::string(Key), entry{}).first;
+  It->second = {++LastVersion, std::move(Value)};
+  return {write_status::Ok, LastVersion};
+}
+
+write_result object_table::remove(std::string_view Key, uint64_t IfVersion) {
+  auto It = Entries.find(Key);
+  if (It == Entries.end())
+    return {write_status::NotFound, 0};
+  if (It->second.Version != IfVersion)
+    return {write_status::Conflict, It->second.Version};
+  TotalBytes -= It->second.Value.size();
+  Entries.erase(It);
+  return {write_status::Ok, 0};
+}
+
+} // namespace standins
--- /dev/null
+++ b/standins/run_counts.h
@@ -0,0 +1,40 @@
+/// \file
+/// Runs of the emulated plain service, counted by the id in the body.
+
+#ifndef STANDINS_RUN_COUNTS_H
+#define STANDINS_RUN_COUNTS_H
+
+#include <cstddef>
+#include <cstdint>
+#include <map>
+#include <string>
+
+namespace standins {
+
+/// Not thread-safe; each call takes O(log n).
+class run_counts {
+public:
+  /// Ids above MaxIds are counted in total() only, which bounds the memory.
+  explicit run_counts(size_t MaxIds = 1'000'000) : MaxIds(MaxIds) {}
+
+  /// Returns the number of this run. Id is empty for a body without one.
+  uint64_t add(const std::string &Id) {
+    if (!Id.empty() && (ById.size() < MaxIds || ById.contains(Id)))
+      ++ById[Id];
+    return ++Total;
+  }
+
+  [[nodiscard]] uint64_t total() const { return Total; }
+  [[nodiscard]] const std::map<std::string, uint64_t> &byId() const {
+    return ById;
+  }
+
+private:
+  size_t MaxIds;
+  uint64_t Total = 0;
+  std::map<std::string, uint64_t> ById;
+};
+
+} // namespace standins
+
+#endif // STANDINS_RUN_COUNTS_H
--- /dev/null
+++ b/standins/vm_list.h
@@ -0,0 +1,63 @@
+/// \file
+/// List of live and leaving VMs that lags behind the actual state.
+
+#ifndef STANDINS_VM_LIST_H
+#define STANDINS_VM_LIST_H
+
+#include "standins/clock.h"
+
+#include <cstdint>
+#include <deque>
+#include <map>
+#include <string>
+#include <utility>
+
+namespace standins {
+
+/// A change becomes visible, with a new version, once the lag that was in
+/// force when it was made has passed. Changes keep their order. Not
+/// thread-safe.
+class vm_list {
+public:
+  void setLag(milliseconds NewLag) { Lag = NewLag; }
+
+  /// State is "live" or "leaving"; any other value removes the VM.
+  void change(std::string Vm, std::string State, time_point Now) {
+    Pending.push_back({Now + Lag, std::move(Vm), std::move(State)});
+  }
+
+  /// Publishes the changes that are due.
+  void advance(time_point Now) {
+    while (!Pending.empty() && Pending.front().Due <= Now) {
+      pending_change &Change = Pending.front();
+      if (Change.State == "live" || Change.State == "leaving")
+        Published[Change.Vm] = Change.State;
+      else
+        Published.erase(Change.Vm);
+      ++Version;
+      Pending.pop_front();
+    }
+  }
+
+  [[nodiscard]] uint64_t version() const { return Version; }
+  /// VM name -> state.
+  [[nodiscard]] const std::map<std::string, std::string> &vms() const {
+    return Published;
+  }
+
+private:
+  struct pending_change {
+    time_point Due;
+    std::string Vm;
+    std::string State;
+  };
+
+  milliseconds Lag{0};
+  std::deque<pending_change> Pending;
+  std::map<std::string, std::string> Published;
+  uint64_t Version = 1;
+};
+
+} // namespace standins
+
+#endif // STANDINS_VM_LIST_H
