Add the model-engine emulator

Agents need an engine that batches continuously and fails on demand. standin_engine runs one generator thread over batch_engine, which gives each running stream a token per step, admits by priority, keeps an LRU of prompt prefixes, and swaps weights in mid-stream after fetching them. The text is a hash of prompt and position. Resumed text that is not the start of the answer is refused, since it shows a fault of the caller.

--- /dev/null
+++ b/standins/batch_engine.h
@@ -0,0 +1,180 @@
+/// \file
+/// State of the emulated model engine: continuous batching, weight versions
+/// and failures.
+///
+/// Use: one thread calls step() every msPerToken(); callers start runs and take
+/// their output lines. The owner provides the locking.
+
+#ifndef STANDINS_BATCH_ENGINE_H
+#define STANDINS_BATCH_ENGINE_H
+
+#include "standins/clock.h"
+#include "standins/prefix_cache.h"
+
+#include <cstdint>
+#include <deque>
+#include <functional>
+#include <map>
+#include <memory>
+#include <string>
+#include <string_view>
+#include <utility>
+#include <vector>
+
+namespace standins {
+
+struct batch_engine_options {
+  std::string Model = "model";
+  uint64_t Version = 1;
+  /// Runs that get a token in each step.
+  size_t Slots = 8;
+  double MsPerToken = 10;
+  /// Start-up time for each prompt token that is not cached.
+  double PrefillMsPerToken = 0.05;
+  bool ChecksFence = false;
+  /// Age of what load() tells.
+  milliseconds LoadLag{0};
+  size_t MaxWaiting = 4096;
+  prefix_cache_options Cache;
+};
+
+struct generate_request {
+  std::string Id;
+  std::string Prompt;
+  uint64_t MaxTokens = 16;
+  /// 0 is the highest.
+  int64_t Priority = 0;
+  std::string ResumeText;
+  uint64_t ResumeTokens = 0;
+};
+
+enum class run_end {
+  Running,
+  Done,
+  Cancelled,
+  /// The connection of the stream was closed first.
+  Disconnected,
+  Crashed,
+  SwapFailed,
+};
+
+std::string_view endName(run_end End);
+
+/// One stream. The owner of the engine's lock may read it.
+struct token_run {
+  generate_request Request;
+  uint64_t PromptHash = 0;
+  /// Position of the next token, counted from the end of the prompt.
+  uint64_t Next = 0;
+  uint64_t CachedTokens = 0;
+  /// End of the prompt's processing.
+  time_point ReadyAt;
+  run_end End = run_end::Running;
+  /// Lines not yet taken.
+  std::string Output;
+  /// Called when output was added or the run has ended.
+  std::function<void()> Wake;
+};
+
+struct run_summary {
+  std::string Id;
+  uint64_t Tokens = 0;
+  run_end End = run_end::Running;
+};
+
+struct load_order {
+  std::string Model;
+  uint64_t Version = 0;
+  std::string Source;
+  uint64_t Fence = 0;
+  bool Accepted = false;
+};
+
+enum class engine_state { Ready, Loading, Failed };
+
+struct engine_load {
+  size_t Running = 0;
+  size_t Waiting = 0;
+  milliseconds Age{0};
+  /// Share of the KV cache in use, 0 to 1.
+  double KvUsed = 0;
+};
+
+/// Why start() refused.
+enum class start_refusal { None, DuplicateId, Failed, Full, BadResume };
+
+/// Not thread-safe. step() takes O(slots) and at most O(waiting log waiting)
+/// for admissions.
+class batch_engine {
+public:
+  explicit batch_engine(batch_engine_options Options);
+
+  struct start_result {
+    start_refusal Refusal = start_refusal::None;
+    std::shared_ptr<token_run> Run;
+  };
+  start_result start(generate_request Request, time_point Now);
+  /// False when no run of that id is active.
+  bool cancel(const std::string &Id);
+  /// Ends a run whose reader has gone.
+  void disconnect(const std::shared_ptr<token_run> &Run);
+  /// Admits waiting runs by priority, then gives each ready run one token.
+  void step(time_point Now);
+  /// Nothing runs or waits.
+  [[nodiscard]] bool idle() const;
+  /// Remembers the present load for load(); call it every few milliseconds.
+  void recordLoad(time_point Now);
+
+  /// Accepts or refuses an order and records it. An accepted one must be
+  /// finished with finishLoad().
+  bool orderLoad(load_order Order);
+  /// Fetched tells whether the weights arrived.
+  void finishLoad(const load_order &Order, bool Fetched, time_point Now);
+
+  /// Ends all runs and forgets the cached prefixes.
+  void crash(time_point Now);
+  void failNextSwap() { SwapFails = true; }
+  void setMsPerToken(double Value) { Options.MsPerToken = Value; }
+  [[nodiscard]] double msPerToken() const { return Options.MsPerToken; }
+
+  [[nodiscard]] engine_load load(time_point Now) const;
+  [[nodiscard]] engine_state state() const { return State; }
+  [[nodiscard]] uint64_t version() const { return Options.Version; }
+  [[nodiscard]] const std::string &model() const { return Options.Model; }
+  [[nodiscard]] size_t slots() const { return Options.Slots; }
+  [[nodiscard]] uint64_t lastFence() const { return LastFence; }
+  [[nodiscard]] std::vector<run_summary> runs() const;
+  [[nodiscard]] const std::deque<load_order> &orders() const { return Orders; }
+  /// Streams that ended neither with `done` nor by a cancel.
+  [[nodiscard]] uint64_t cut() const { return Cut; }
+  prefix_cache &cache() { return Cache; }
+
+private:
+  using run_pointer = std::shared_ptr<token_run>;
+  /// Admission order: priority, then arrival.
+  using waiting_key = std::pair<int64_t, uint64_t>;
+
+  void admit(time_point Now);
+  void emitToken(token_run &Run);
+  void finish(const run_pointer &Run, run_end End);
+  void finishAll(run_end End);
+  [[nodiscard]] engine_load presentLoad() const;
+
+  batch_engine_options Options;
+  prefix_cache Cache;
+  engine_state State = engine_state::Ready;
+  uint64_t LastFence = 0;
+  bool SwapFails = false;
+  uint64_t Arrivals = 0;
+  uint64_t Cut = 0;
+  std::map<waiting_key, run_pointer> Waiting;
+  std::vector<run_pointer> Running;
+  std::map<std::string, run_pointer> ById;
+  std::deque<run_summary> Ended;
+  std::deque<load_order> Orders;
+  std::deque<std::pair<time_point, engine_load>> Loads;
+};
+
+} // namespace standins
+
+#endif // STANDINS_BATCH_ENGINE_H
--- /dev/null
+++ b/standins/prefix_cache.cpp
@@ -0,0 +1,76 @@
+#include "standins/prefix_cache.h"
+
+#include "standins/token_text.h"
+
+namespace standins {
+
+namespace {
+
+constexpr size_t MaxEvents = 10'000;
+
+} // namespace
+
+std::vector<uint64_t> prefix_cache::prefixes(std::string_view Prompt) {
+  std::vector<uint64_t> Prefixes;
+  uint64_t Hash = hashText("");
+  for (size_t I = 0; I + BlockBytes <= Prompt.size(); I += BlockBytes) {
+    Hash = hashText(Prompt.substr(I, BlockBytes), Hash);
+    Prefixes.push_back(Hash);
+  }
+  return Prefixes;
+}
+
+size_t prefix_cache::countCached(const std::vector<uint64_t> &Prefixes) const {
+  size_t Count = 0;
+  while (Count < Prefixes.size() && Index.contains(Prefixes[Count]))
+    ++Count;
+  return Count;
+}
+
+void prefix_cache::store(const std::vector<uint64_t> &Prefixes,
+                         time_point Now) {
+  // From the longest to the shortest, so that a prefix is evicted only after
+  // the longer ones that need it.
+  for (auto It = Prefixes.rbegin(); It != Prefixes.rend(); ++It) {
+    auto Known = Index.find(*It);
+    if (Known != Index.end()) {
+      ByUse.splice(ByUse.begin(), ByUse, Known->second);
+      continue;
+    }
+    ByUse.push_front(*It);
+    Index[*It] = ByUse.begin();
+    publish(true, *It, Now);
+  }
+  while (Index.size() > Options.MaxEntries) {
+    publish(false, ByUse.back(), Now);
+    Index.erase(ByUse.back());
+    ByUse.pop_back();
+  }
+}
+
+void prefix_cache::clear(time_point Now) {
+  for (uint64_t PrefixHash : ByUse)
+    publish(false, PrefixHash, Now);
+  ByUse.clear();
+  Index.clear();
+}
+
+std::vector<cache_event> prefix_cache::events(uint64_t After,
+                                              time_point Now) const {
+  std::vector<cache_event> Found;
+  for (const timed_event &Entry : Events)
+    if (Entry.Event.Seq > After && Entry.Time + Options.EventLag <= Now)
+      Found.push_back(Entry.Event);
+  return Found;
+}
+
+void prefix_cache::publish(bool Stored, uint64_t PrefixHash, time_point Now) {
+  ++LastSeq;
+  if (Options.EventGapEvery > 0 && LastSeq % Options.EventGapEvery == 0)
+    return;
+  Events.push_back({Now, {LastSeq, Stored, PrefixHash}});
+  if (Events.size() > MaxEvents)
+    Events.pop_front();
+}
+
+} // namespace standins
--- /dev/null
+++ b/standins/prefix_cache.h
@@ -0,0 +1,75 @@
+/// \file
+/// Cached prompt prefixes of the emulated engine.
+
+#ifndef STANDINS_PREFIX_CACHE_H
+#define STANDINS_PREFIX_CACHE_H
+
+#include "standins/clock.h"
+
+#include <cstddef>
+#include <cstdint>
+#include <deque>
+#include <list>
+#include <string_view>
+#include <unordered_map>
+#include <vector>
+
+namespace standins {
+
+struct cache_event {
+  uint64_t Seq = 0;
+  bool Stored = false;
+  uint64_t PrefixHash = 0;
+};
+
+struct prefix_cache_options {
+  /// Blocks kept; the least recently used one is evicted.
+  size_t MaxEntries = 4096;
+  /// Events become visible this much later.
+  milliseconds EventLag{500};
+  /// One event in this many is never published; 0 publishes all.
+  uint64_t EventGapEvery = 50;
+};
+
+/// LRU set of prefixes. A prefix is a whole number of 64-byte blocks of the
+/// prompt and is identified by the FNV-1a hash of its bytes. Not thread-safe;
+/// each call takes O(blocks).
+class prefix_cache {
+public:
+  static constexpr size_t BlockBytes = 64;
+  static constexpr size_t BytesPerToken = 4;
+  static constexpr size_t TokensPerBlock = BlockBytes / BytesPerToken;
+
+  explicit prefix_cache(prefix_cache_options Options) : Options(Options) {}
+
+  /// Hashes of the prefixes of Prompt, shortest first.
+  static std::vector<uint64_t> prefixes(std::string_view Prompt);
+
+  /// How many leading prefixes are cached.
+  [[nodiscard]] size_t countCached(const std::vector<uint64_t> &Prefixes) const;
+  void store(const std::vector<uint64_t> &Prefixes, time_point Now);
+  void clear(time_point Now);
+
+  [[nodiscard]] size_t size() const { return Index.size(); }
+  /// Published events with a higher sequence number than After.
+  [[nodiscard]] std::vector<cache_event> events(uint64_t After,
+                                                time_point Now) const;
+
+private:
+  struct timed_event {
+    time_point Time;
+    cache_event Event;
+  };
+
+  void publish(bool Stored, uint64_t PrefixHash, time_point Now);
+
+  prefix_cache_options Options;
+  std::list<uint64_t> ByUse;
+  std::unordered_map<uint64_t, std::list<uint64_t>::iterator> Index;
+  std::deque<timed_event> Events;
+  uint64_t LastSeq = 0;
+};
+
+} // namespace standins
+
+#endif // STANDINS_PREFIX_CACHE_H
--- /dev/null
+++ b/standins/standin_engine.cpp
@@ -0,0 +1,438 @@
+/// \file
+/// Emulator of a model engine.
+
+#include "standins/batch_engine.h"
+#include "standins/http_server.h"
+
+#include <CLI/CLI.hpp>
+#include <atomic>
+#include <charconv>
+#include <condition_variable>
+#include <mutex>
+#include <optional>
+#include <shared_mutex>
+#include <thread>
+
+namespace standins {
+
+namespace {
+
+using httplib::Request;
+using httplib::Response;
+using nlohmann::json;
+
+constexpr uint64_t MaxTokensPerRun = 1 << 17;
+constexpr milliseconds IdleTick{20};
+/// How often a stream without output checks that its reader is there.
+constexpr milliseconds LivenessCheck{50};
+constexpr milliseconds SilenceTick{20};
+/// Pause between steps at --ms-per-token 0, so that readers get the lock.
+constexpr std::chrono::microseconds MinStep{50};
+constexpr time_t FetchTimeoutSeconds = 60;
+
+std::string hex(uint64_t Value) {
+  char Text[17];
+  auto End = std::to_chars(Text, Text + sizeof(Text), Value, 16).ptr;
+  std::string Digits(Text, End);
+  return std::string(16 - Digits.size(), '0') + Digits;
+}
+
+std::string_view stateName(engine_state State) {
+  switch (State) {
+  case engine_state::Ready:
+    return "ready";
+  case engine_state::Loading:
+    return "loading";
+  case engine_state::Failed:
+    break;
+  }
+  return "failed";
+}
+
+generate_request readGenerate(const json &Body) {
+  generate_request Request;
+  Request.Id = Body.at("request_id").get<std::string>();
+  Request.Prompt = Body.at("prompt").get<std::string>();
+  Request.MaxTokens =
+      std::min(Body.value("max_tokens", Request.MaxTokens), MaxTokensPerRun);
+  Request.Priority = Body.value("priority", Request.Priority);
+  Request.ResumeText = Body.value("resume_text", "");
+  Request.ResumeTokens = Body.value("resume_tokens", uint64_t(0));
+  return Request;
+}
+
+/// Reads the weights and drops them; false when any byte is missing.
+bool fetchWeights(const load_order &Order) {
+  size_t Colon = Order.Source.rfind(':');
+  if (Colon == std::string::npos)
+    return false;
+  httplib::Client Client(Order.Source.substr(0, Colon),
+                         std::atoi(Order.Source.c_str() + Colon + 1));
+  Client.set_connection_timeout(2);
+  Client.set_read_timeout(FetchTimeoutSeconds);
+  auto Result = Client.Get("/v1/weights/" + Order.Model + "/" +
+                               std::to_string(Order.Version),
+                           [](const char *, size_t) { return true; });
+  return Result && Result->status == 200;
+}
+
+class engine_server {
+public:
+  explicit engine_server(const batch_engine_options &Options)
+      : Engine(Options) {
+    addRoutes();
+    std::thread([this] { generate(); }).detach();
+    std::thread([this] { loadWeights(); }).detach();
+  }
+
+  http_server Http;
+
+private:
+  struct wake_signal {
+    std::condition_variable HasOutput;
+  };
+
+  void addRoutes() {
+    auto Bind = [this](auto Method) {
+      return [this, Method](const Request &Call, Response &Answer) {
+        try {
+          (this->*Method)(Call, Answer);
+        } catch (const json::exception &Error) {
+          answer(Answer, 400, {{"reason", Error.what()}});
+        }
+      };
+    };
+    httplib::Server &Routes = Http.routes();
+    Routes.set_pre_routing_handler([this](const Request &Call, Response &) {
+      return beforeRouting(Call);
+    });
+    Routes.Post("/generate", Bind(&engine_server::startStream));
+    Routes.Post("/cancel", Bind(&engine_server::cancel));
+    Routes.Get("/status", Bind(&engine_server::status));
+    Routes.Get("/load", Bind(&engine_server::load));
+    Routes.Post("/orders/load_weights", Bind(&engine_server::orderLoad));
+    Routes.Get("/cache_events", Bind(&engine_server::cacheEvents));
+    Routes.Post("/kv/export", Bind(&engine_server::exportKv));
+    Routes.Post("/kv/import", Bind(&engine_server::importKv));
+    Routes.Post("/admin", Bind(&engine_server::control));
+    Routes.Get("/admin/runs", Bind(&engine_server::listRuns));
+  }
+
+  httplib::Server::HandlerResponse beforeRouting(const Request &Call) {
+    using handler_response = httplib::Server::HandlerResponse;
+    if (Call.path.starts_with("/admin"))
+      return handler_response::Unhandled;
+    waitWhileSilent(Call.remote_port);
+    if (!Crashed)
+      return handler_response::Unhandled;
+    Http.dropConnection(Call);
+    return handler_response::Handled;
+  }
+
+  bool isSilent(int Port) {
+    if (!Silent)
+      return false;
+    std::shared_lock Lock(SilentMutex);
+    return SilentPorts.contains(Port);
+  }
+
+  void waitWhileSilent(int Port) {
+    while (!Crashed && isSilent(Port))
+      std::this_thread::sleep_for(SilenceTick);
+  }
+
+  void startStream(const Request &Call, Response &Answer) {
+    json Body = readObject(Call, Answer);
+    if (Body.is_null())
+      return;
+    auto Signal = std::make_shared<wake_signal>();
+    batch_engine::start_result Start;
+    {
+      std::lock_guard Lock(Mutex);
+      Start = Engine.start(readGenerate(Body), steady_clock::now());
+      if (Start.Run)
+        Start.Run->Wake = [Signal] { Signal->HasOutput.notify_all(); };
+    }
+    if (!Start.Run)
+      return refuseStart(Start.Refusal, Answer);
+    HasWork.notify_one();
+    std::shared_ptr<token_run> Run = Start.Run;
+    Answer.set_chunked_content_provider(
+        "application/x-ndjson",
+        [this, Run, Signal, Call = &Call](size_t, httplib::DataSink &Sink) {
+          return writeOutput(*Run, *Signal, *Call, Sink);
+        },
+        [this, Run](bool) {
+          std::lock_guard Lock(Mutex);
+          Engine.disconnect(Run);
+          Run->Wake = nullptr;
+        });
+  }
+
+  static void refuseStart(start_refusal Refusal, Response &Answer) {
+    switch (Refusal) {
+    case start_refusal::DuplicateId:
+      return answer(Answer, 409, {{"reason", "duplicate_request_id"}});
+    case start_refusal::BadResume:
+      return answer(Answer, 400,
+                    {{"reason", "resume_text is not the start of the answer"}});
+    case start_refusal::Full:
+      return answer(Answer, 503, {{"reason", "full"}});
+    default:
+      return answer(Answer, 503, {{"reason", "failed"}});
+    }
+  }
+
+  /// Sends what there is, or waits a little for more. A failed stream ends
+  /// without its closing chunk.
+  bool writeOutput(token_run &Run, wake_signal &Signal, const Request &Call,
+                   httplib::DataSink &Sink) {
+    waitWhileSilent(Call.remote_port);
+    std::string Output;
+    run_end End = run_end::Running;
+    {
+      std::unique_lock Lock(Mutex);
+      Signal.HasOutput.wait_for(Lock, LivenessCheck, [&] {
+        return !Run.Output.empty() || Run.End != run_end::Running;
+      });
+      Output.swap(Run.Output);
+      End = Run.End;
+    }
+    // Silence may have begun during the wait.
+    waitWhileSilent(Call.remote_port);
+    if (!Output.empty() && !Sink.write(Output.data(), Output.size()))
+      return false;
+    if (End == run_end::Done || End == run_end::Cancelled)
+      Sink.done();
+    else if (End != run_end::Running) {
+      Http.dropConnection(Call);
+      return false;
+    }
+    return true;
+  }
+
+  void cancel(const Request &Call, Response &Answer) {
+    json Body = readObject(Call, Answer);
+    if (Body.is_null())
+      return;
+    std::lock_guard Lock(Mutex);
+    Engine.cancel(Body.at("request_id").get<std::string>());
+    answer(Answer, 200, json::object());
+  }
+
+  void status(const Request &, Response &Answer) {
+    std::lock_guard Lock(Mutex);
+    answer(Answer, 200,
+           {{"model", Engine.model()},
+            {"version", Engine.version()},
+            {"state", stateName(Engine.state())},
+            {"slots", Engine.slots()},
+            {"last_fence", Engine.lastFence()}});
+  }
+
+  void load(const Request &, Response &Answer) {
+    std::lock_guard Lock(Mutex);
+    engine_load Load = Engine.load(steady_clock::now());
+    answer(Answer, 200,
+           {{"running", Load.Running},
+            {"waiting", Load.Waiting},
+            {"slots", Engine.slots()},
+            {"age_ms", Load.Age.count()},
+            {"kv_used", Load.KvUsed}});
+  }
+
+  void orderLoad(const Request &Call, Response &Answer) {
+    json Body = readObject(Call, Answer);
+    if (Body.is_null())
+      return;
+    std::lock_guard Lock(Mutex);
+    load_order Order{.Model = Body.value("model", Engine.model()),
+                     .Version = Body.at("version").get<uint64_t>(),
+                     .Source = Body.value("source", ""),
+                     .Fence = Body.value("fence", uint64_t(0))};
+    if (!Engine.orderLoad(Order))
+      return answer(Answer, 409, {{"reason", "old_fence"}});
+    NextOrder = Order;
+    HasOrder.notify_one();
+    answer(Answer, 202, json::object());
+  }
+
+  void cacheEvents(const Request &Call, Response &Answer) {
+    std::string After = Call.get_param_value("after");
+    uint64_t Seq = std::strtoull(After.c_str(), nullptr, 10);
+    json Events = json::array();
+    std::lock_guard Lock(Mutex);
+    for (const cache_event &Event :
+         Engine.cache().events(Seq, steady_clock::now()))
+      Events.push_back({{"seq", Event.Seq},
+                        {"kind", Event.Stored ? "stored" : "evicted"},
+                        {"prefix_hash", hex(Event.PrefixHash)}});
+    answer(Answer, 200, {{"events", Events}});
+  }
+
+  void exportKv(const Request &Call, Response &Answer) {
+    json Body = readObject(Call, Answer);
+    if (Body.is_null())
+      return;
+    auto Prefixes =
+        prefix_cache::prefixes(Body.at("prompt").get<std::string>());
+    {
+      std::lock_guard Lock(Mutex);
+      Prefixes.resize(Engine.cache().countCached(Prefixes));
+    }
+    if (Prefixes.empty())
+      return answer(Answer, 404, {{"reason", "not_cached"}});
+    Answer.set_content(json{{"prefixes", Prefixes}}.dump(),
+                       "application/octet-stream");
+  }
+
+  void importKv(const Request &Call, Response &Answer) {
+    json Body = readObject(Call, Answer);
+    if (Body.is_null())
+      return;
+    auto Prefixes = Body.at("prefixes").get<std::vector<uint64_t>>();
+    std::lock_guard Lock(Mutex);
+    Engine.cache().store(Prefixes, steady_clock::now());
+    answer(Answer, 200, json::object());
+  }
+
+  void control(const Request &Call, Response &Answer) {
+    json Order = readObject(Call, Answer);
+    if (Order.is_null())
+      return;
+    if (Order.contains("crash"))
+      setCrashed(Order["crash"].get<bool>());
+    if (Order.contains("silent"))
+      setSilent(Order["silent"].get<bool>());
+    std::lock_guard Lock(Mutex);
+    if (Order.value("fail_next_swap", false))
+      Engine.failNextSwap();
+    if (Order.contains("ms_per_token"))
+      Engine.setMsPerToken(Order["ms_per_token"].get<double>());
+    answer(Answer, 200, json::object());
+  }
+
+  /// Streams drop their connections when they see the end of their run; other
+  /// connections are dropped at their next request.
+  void setCrashed(bool Value) {
+    std::lock_guard Lock(Mutex);
+    Crashed = Value;
+    if (Value)
+      Engine.crash(steady_clock::now());
+  }
+
+  /// Connections that are open now stay silent until silence ends; new ones
+  /// work.
+  void setSilent(bool Value) {
+    std::set<int> Ports;
+    if (Value)
+      Ports = Http.openConnections();
+    std::lock_guard Lock(SilentMutex);
+    SilentPorts = std::move(Ports);
+    Silent = Value;
+  }
+
+  void listRuns(const Request &, Response &Answer) {
+    json Runs = json::array();
+    json Orders = json::array();
+    std::lock_guard Lock(Mutex);
+    for (const run_summary &Run : Engine.runs())
+      Runs.push_back({{"request_id", Run.Id},
+                      {"tokens", Run.Tokens},
+                      {"ended", endName(Run.End)}});
+    for (const load_order &Order : Engine.orders())
+      Orders.push_back({{"version", Order.Version},
+                        {"fence", Order.Fence},
+                        {"accepted", Order.Accepted}});
+    answer(Answer, 200,
+           {{"runs", Runs}, {"orders", Orders}, {"cut", Engine.cut()}});
+  }
+
+  void generate() {
+    std::unique_lock Lock(Mutex);
+    time_point NextStep = steady_clock::now();
+    while (true) {
+      time_point Now = steady_clock::now();
+      Engine.recordLoad(Now);
+      if (Engine.idle()) {
+        HasWork.wait_for(Lock, IdleTick);
+        NextStep = steady_clock::now();
+        continue;
+      }
+      Engine.step(Now);
+      auto Pace = std::chrono::duration_cast<steady_clock::duration>(
+          fractional_ms(Engine.msPerToken()));
+      NextStep = std::max(NextStep + Pace, Now + MinStep);
+      Lock.unlock();
+      std::this_thread::sleep_until(NextStep);
+      Lock.lock();
+    }
+  }
+
+  /// A newer order replaces one that has not begun.
+  void loadWeights() {
+    std::unique_lock Lock(Mutex);
+    while (true) {
+      HasOrder.wait(Lock, [&] { return NextOrder.has_value(); });
+      load_order Order = std::move(*NextOrder);
+      NextOrder.reset();
+      Lock.unlock();
+      bool Fetched = Order.Source.empty() || fetchWeights(Order);
+      Lock.lock();
+      if (!NextOrder)
+        Engine.finishLoad(Order, Fetched, steady_clock::now());
+    }
+  }
+
+  std::mutex Mutex;
+  std::condition_variable HasWork;
+  std::condition_variable HasOrder;
+  batch_engine Engine;
+  std::optional<load_order> NextOrder;
+  std::atomic<bool> Crashed = false;
+  std::atomic<bool> Silent = false;
+  std::shared_mutex SilentMutex;
+  std::set<int> SilentPorts;
+};
+
+} // namespace
+
+} // namespace standins
+
+int main(int Argc, char **Argv) {
+  CLI::App App("Emulator of a model engine");
+  standins::server_options Server;
+  standins::batch_engine_options Engine;
+  int LoadLagMs = 200;
+  int EventLagMs = static_cast<int>(Engine.Cache.EventLag.count());
+  standins::addServerFlags(App, Server);
+  App.add_option("--model", Engine.Model)->capture_default_str();
+  App.add_option("--version", Engine.Version, "weight version at the start")
+      ->capture_default_str();
+  App.add_option("--slots", Engine.Slots, "runs in one batch")
+      ->check(CLI::Range(1, 4096))
+      ->capture_default_str();
+  App.add_option("--ms-per-token", Engine.MsPerToken, "time of one step")
+      ->check(CLI::Range(0.0, 60'000.0))
+      ->capture_default_str();
+  App.add_option("--prefill-ms-per-token", Engine.PrefillMsPerToken,
+                 "start-up time for each prompt token that is not cached")
+      ->capture_default_str();
+  App.add_flag("--checks-fence", Engine.ChecksFence,
+               "refuse orders with an old fencing token");
+  App.add_option("--load-lag-ms", LoadLagMs, "age of /load")
+      ->capture_default_str();
+  App.add_option("--prefix-cache-entries", Engine.Cache.MaxEntries,
+                 "prompt blocks kept")
+      ->capture_default_str();
+  App.add_option("--event-lag-ms", EventLagMs, "delay of cache events")
+      ->capture_default_str();
+  App.add_option("--event-gap-every", Engine.Cache.EventGapEvery,
+                 "lose one cache event in N, 0 = none")
+      ->capture_default_str();
+  CLI11_PARSE(App, Argc, Argv);
+  Engine.LoadLag = standins::milliseconds(LoadLagMs);
+  Engine.Cache.EventLag = standins::milliseconds(EventLagMs);
+  standins::engine_server Emulator(Engine);
+  return Emulator.Http.run(Server);
+}
