Add the header of the daemon's settings

Cause: the daemon's wiring is written at the same time as its settings. Measured: the header compiles alone; nothing has been run. Conclusion: the interface is fixed; the parser follows.

--- /dev/null
+++ b/settings/daemon_settings.h
@@ -0,0 +1,83 @@
+/// \file
+/// Settings of cardamomd, from flags and environment variables.
+///
+/// Use:
+///   parse_result R = parseDaemonSettings({Argv, size_t(Argc)});
+///   if (!R.Run) {
+///     (R.ExitCode == 0 ? std::cout : std::cerr) << R.Text;
+///     return R.ExitCode;
+///   }
+///   run(R.Settings);
+///
+/// Each flag --some-name has the environment variable CARDAMOM_SOME_NAME; the
+/// flag wins. docs/settings.md lists all of them.
+
+#ifndef CARDAMOM_SETTINGS_DAEMON_SETTINGS_H
+#define CARDAMOM_SETTINGS_DAEMON_SETTINGS_H
+
+#include "base/time.h"
+
+#include <cstddef>
+#include <cstdint>
+#include <span>
+#include <string>
+#include <vector>
+
+namespace cardamom {
+
+enum class daemon_role { Entry, Agent };
+
+/// All addresses are "IP:port" and have been checked.
+struct daemon_settings {
+  daemon_role Role = daemon_role::Entry;
+  /// Name of the entry, or of the upstream that the agent serves, in the
+  /// inventory.
+  std::string Name;
+  std::string FailureDomain;
+  std::string Region;
+  /// Where the inner protocol listens.
+  std::string InnerListen;
+  /// Where HTTP listens. On an agent it serves metrics and health only, and is
+  /// empty when it is not wanted.
+  std::string HttpListen;
+  std::string Store;
+  /// Inner addresses asked for documents at a start during a store outage.
+  std::vector<std::string> SeedPeers;
+  /// Agent only: the upstream on this VM.
+  std::string Upstream;
+  /// Agent only: local port that serves as the lock on giving orders.
+  uint16_t OrderPort = 0;
+  std::string LogLevel = "info";
+  /// Folder for bulk data; empty = keep nothing.
+  std::string DataDir;
+  /// How long an entry stays up but unready after SIGTERM.
+  milliseconds DrainNotice{3000};
+  /// Lease of a trainer's owner.
+  milliseconds Lease{10000};
+  unsigned HttpThreads = 64;
+  /// Bound on finished responses that an agent keeps.
+  size_t RetainedAnswerBytes = size_t(64) << 20;
+  /// Bound on the body of a request.
+  size_t MaxBodyBytes = size_t(1) << 20;
+};
+
+struct parse_result {
+  /// Whether to run with Settings; otherwise print Text and exit with ExitCode.
+  bool Run = false;
+  /// 0 after --help, --check-settings and --print-settings; 2 for a setting
+  /// that is refused.
+  int ExitCode = 0;
+  std::string Text;
+  daemon_settings Settings;
+};
+
+/// Args is argv, including the program's name. Reads the environment, and
+/// neither throws for a bad setting nor prints.
+parse_result parseDaemonSettings(std::span<const char *const> Args);
+
+/// The settings as JSON, as --print-settings shows them.
+std::string formatSettings(const daemon_settings &Settings);
+
+} // namespace cardamom
+
+#endif // CARDAMOM_SETTINGS_DAEMON_SETTINGS_H
