--- /dev/null
+++ b/config/config_holder.cpp
@@ -0,0 +1,42 @@
+#include "config/config_holder.h"
+
+#include "config/configuration.h"
+
+#include <utility>
+
+namespace cardamom {
+
+bool config_holder::install(std::shared_ptr<const configuration> Config) {
+  if (Config == nullptr)
+    return false;
+  {
+    std::lock_guard Lock(Mutex);
+    if (Held != nullptr && Config->Version <= Held->Version)
+      return false;
+    // Config takes the former one, which is destroyed outside the lock.
+    std::swap(Held, Config);
+  }
+  Changed.notify_all();
+  return true;
+}
+
+std::shared_ptr<const configuration> config_holder::get() const {
+  std::lock_guard Lock(Mutex);
+  return Held;
+}
+
+uint64_t config_holder::version() const {
+  std::lock_guard Lock(Mutex);
+  return Held == nullptr ? 0 : Held->Version;
+}
+
+std::shared_ptr<const configuration>
+config_holder::waitFor(uint64_t Version, milliseconds Timeout) const {
+  std::unique_lock Lock(Mutex);
+  const bool Reached = Changed.wait_for(Lock, Timeout, [&] {
+    return Held != nullptr && Held->Version >= Version;
+  });
+  return Reached ? Held : nullptr;
+}
+
+} // namespace cardamom
--- /dev/null
+++ b/config/config_holder_thread_test.cpp
@@ -0,0 +1,68 @@
+#include "config/config_holder.h"
+
+#include "config/configuration.h"
+
+#include <cppunit/extensions/HelperMacros.h>
+#include <thread>
+#include <vector>
+
+namespace cardamom {
+
+static std::shared_ptr<const configuration> versioned(uint64_t Version) {
+  configuration Config;
+  Config.Version = Version;
+  return std::make_shared<const configuration>(std::move(Config));
+}
+
+class config_holder_thread_test : public CppUnit::TestFixture {
+  CPPUNIT_TEST_SUITE(config_holder_thread_test);
+  CPPUNIT_TEST(neverGoesBack);
+  CPPUNIT_TEST(waitsForVersion);
+  CPPUNIT_TEST_SUITE_END();
+
+public:
+  // Guards against an accepted configuration that reverts when copies arrive
+  // out of order from several threads.
+  void neverGoesBack() {
+    constexpr uint64_t Versions = 2000;
+    config_holder Holder;
+    std::vector<std::thread> Writers;
+    for (uint64_t Start = 1; Start <= 3; ++Start)
+      Writers.emplace_back([&Holder, Start] {
+        for (uint64_t V = Start; V <= Versions; V += Start)
+          Holder.install(versioned(V));
+      });
+    uint64_t Seen = 0;
+    while (Seen < Versions) {
+      const uint64_t Now = Holder.version();
+      CPPUNIT_ASSERT(Now >= Seen);
+      Seen = Now;
+    }
+    for (std::thread &Writer : Writers)
+      Writer.join();
+    CPPUNIT_ASSERT(!Holder.install(versioned(Versions)));
+    CPPUNIT_ASSERT(!Holder.install(versioned(Versions - 1)));
+    CPPUNIT_ASSERT(!Holder.install(nullptr));
+    CPPUNIT_ASSERT_EQUAL(Versions, Holder.get()->Version);
+  }
+
+  // Guards against a waiter that misses the installation.
+  void waitsForVersion() {
+    config_holder Holder;
+    CPPUNIT_ASSERT(Holder.get() == nullptr);
+    CPPUNIT_ASSERT(Holder.waitFor(1, milliseconds(1)) == nullptr);
+    std::thread Writer([&] {
+      Holder.install(versioned(1));
+      Holder.install(versioned(3));
+    });
+    const auto Config = Holder.waitFor(2, milliseconds(10000));
+    Writer.join();
+    CPPUNIT_ASSERT(Config != nullptr);
+    CPPUNIT_ASSERT_EQUAL(uint64_t(3), Config->Version);
+  }
+};
+
+CPPUNIT_TEST_SUITE_NAMED_REGISTRATION(config_holder_thread_test,
+                                      "config_holder_thread_test");
+
+} // namespace cardamom
--- a/config/configuration.h
+++ b/config/configuration.h
@@ -7,13 +7,18 @@
 ///          // allowed
 ///
 /// parseConfigurationDocument() reads the value of the store's object
-/// "config/current": {"edit_id", "author", "inventory", "rules", "history"}.
+/// "config/current": {"edit_id", "author", "inventory", "rules", "history"}
+/// (see config/configuration_document.h).
+///
+/// Limits: 4096 inventory rows, and 900 KB for inventory and rules together,
+/// or for the document. Parsing takes O(n log n) in the size of the input.
 
 #ifndef CARDAMOM_CONFIG_CONFIGURATION_H
 #define CARDAMOM_CONFIG_CONFIGURATION_H
 
 #include "base/time.h"
 
+#include <cstddef>
 #include <cstdint>
 #include <stdexcept>
 #include <string>
@@ -22,8 +27,17 @@
 
 namespace cardamom {
 
+inline constexpr size_t MaxInventoryRows = 4096;
+
+/// The store takes values up to 1 MB; the rest is left for the escapes of the
+/// JSON encoding.
+inline constexpr size_t MaxConfigurationBytes = 900000;
+
 enum class asset_kind { Entry, Model, Plain };
 
+/// Returns "entry", "model" or "plain", as written in the inventory.
+std::string_view toString(asset_kind Kind);
+
 /// One row of the inventory. CSV header:
 /// name,kind,pool,vm,region,failure_domain,inner_address,address,concurrency
 struct asset {
@@ -40,13 +54,17 @@
   std::string Address;
   /// Requests that the upstream runs at once (1 to 4096).
   unsigned Concurrency = 1;
+
+  bool operator==(const asset &) const = default;
 };
 
 /// Calls of a route that may not be repeated.
 struct non_idempotent_call {
   std::string Method;
-  /// Prefix of the path below which the calls lie.
+  /// Path of the calls; it covers itself and everything below it.
   std::string PathPrefix;
+
+  bool operator==(const non_idempotent_call &) const = default;
 };
 
 struct route_rule {
@@ -104,11 +122,15 @@
 /// Returns whether a call of the route may be repeated. GET, HEAD, OPTIONS,
 /// PUT and DELETE are idempotent unless a rule says otherwise; other methods
 /// are taken as not idempotent only where a rule says so.
+/// Path is compared without its query, percent-decoded, and with empty, "."
+/// and ".." segments resolved, because the upstream may read it that way: an
+/// unusual spelling of a deposit must not make it repeatable.
 bool isIdempotent(const route_rule &Route, std::string_view Method,
                   std::string_view Path);
 
 /// A refused input: what() reads "FILE:LINE: field \"F\": value \"V\": allowed
-/// is ...".
+/// is ...". LINE is given for the inventory and for malformed JSON; in rules F
+/// is the path of the field, such as "routes[0].timeout_ms".
 class config_error : public std::runtime_error {
 public:
   using std::runtime_error::runtime_error;
@@ -121,10 +143,15 @@
   std::string_view RulesJson;
 };
 
+/// Throws config_error; nothing of a bad input is used.
 configuration parseConfiguration(const configuration_source &Source);
+/// Throws config_error. Version is that of the store's object.
 configuration parseConfigurationDocument(std::string_view Json,
                                          uint64_t Version);
 
+/// The assets as an inventory that parseConfiguration() reads back unchanged.
+std::string formatInventory(const std::vector<asset> &Assets);
+
 } // namespace cardamom
 
 #endif // CARDAMOM_CONFIG_CONFIGURATION_H
--- /dev/null
+++ b/config/configuration_document.cpp
@@ -0,0 +1,107 @@
+#include "config/configuration_document.h"
+
+#include "config/configuration.h"
+#include "config/json_fields.h"
+
+namespace cardamom {
+
+using nlohmann::json;
+
+static constexpr std::string_view DocumentName = "config/current";
+static constexpr size_t MaxSummaryBytes = 200;
+static constexpr size_t MaxAuthorBytes = 128;
+
+static std::string readShortText(const json_fields &Fields,
+                                 std::string_view Key, size_t MaxBytes) {
+  std::string Text = Fields.text(Key);
+  if (Text.empty() || Text.size() > MaxBytes)
+    Fields.refuse(Key, "1 to " + std::to_string(MaxBytes) + " bytes of text");
+  return Text;
+}
+
+static history_entry readHistoryEntry(const std::string &Path,
+                                      const json &Element) {
+  const json_fields Fields(DocumentName, Path, Element,
+                           {"edit_id", "author", "version", "time", "summary"});
+  history_entry Entry;
+  Entry.EditId = readShortText(Fields, "edit_id", MaxAuthorBytes);
+  Entry.Author = readShortText(Fields, "author", MaxAuthorBytes);
+  Entry.Version = Fields.number("version", 0, UINT64_MAX);
+  Entry.Time = Fields.text("time");
+  Entry.Summary = Fields.text("summary");
+  return Entry;
+}
+
+configuration_document readDocument(std::string_view Json, uint64_t Version) {
+  if (Json.size() > MaxConfigurationBytes)
+    refuseInput({.File = DocumentName},
+                std::to_string(Json.size()) +
+                    " bytes: allowed are at most 900000");
+  const json Parsed = parseStrictJson(DocumentName, Json);
+  const json_fields Fields(
+      DocumentName, "", Parsed,
+      {"edit_id", "author", "inventory", "rules", "history"});
+  configuration_document Document;
+  Document.Version = Version;
+  Document.EditId = readShortText(Fields, "edit_id", MaxAuthorBytes);
+  Document.Author = readShortText(Fields, "author", MaxAuthorBytes);
+  Document.Inventory = Fields.text("inventory");
+  Document.Rules = Fields.at("rules").dump();
+  if (!Fields.has("history"))
+    return Document;
+  const json &History = Fields.array("history");
+  if (History.size() > MaxHistoryEntries)
+    refuseInput({.File = DocumentName, .Field = "history"},
+                std::to_string(History.size()) +
+                    " elements: allowed are at most 50");
+  for (const json &Element : History)
+    Document.History.push_back(readHistoryEntry(
+        "history[" + std::to_string(Document.History.size()) + "]", Element));
+  if (!Document.History.empty() && Document.History.front().Version == 0)
+    Document.History.front().Version = Version;
+  return Document;
+}
+
+std::string formatDocument(const configuration_document &Document) {
+  json History = json::array();
+  for (const history_entry &Entry : Document.History)
+    History.push_back({{"edit_id", Entry.EditId},
+                       {"author", Entry.Author},
+                       {"version", Entry.Version},
+                       {"time", Entry.Time},
+                       {"summary", Entry.Summary}});
+  const json Object = {{"edit_id", Document.EditId},
+                       {"author", Document.Author},
+                       {"inventory", Document.Inventory},
+                       {"rules", parseStrictJson("rules", Document.Rules)},
+                       {"history", std::move(History)}};
+  // Text from the command line may not be UTF-8, which dump() would refuse.
+  std::string Json =
+      Object.dump(-1, ' ', false, json::error_handler_t::replace);
+  if (Json.size() > MaxConfigurationBytes)
+    refuseInput({.File = DocumentName},
+                std::to_string(Json.size()) +
+                    " bytes as JSON: allowed are at most 900000");
+  return Json;
+}
+
+configuration_document applyEdit(const configuration_document &Current,
+                                 const configuration_edit &Edit) {
+  configuration_document Next;
+  Next.EditId = Edit.EditId;
+  Next.Author = Edit.Author.substr(0, MaxAuthorBytes);
+  Next.Inventory = Edit.Inventory;
+  Next.Rules = Edit.Rules;
+  Next.History.push_back({.EditId = Edit.EditId,
+                          .Author = Next.Author,
+                          .Time = Edit.Time,
+                          .Summary = Edit.Summary.substr(0, MaxSummaryBytes)});
+  for (const history_entry &Entry : Current.History) {
+    if (Next.History.size() == MaxHistoryEntries)
+      break;
+    Next.History.push_back(Entry);
+  }
+  return Next;
+}
+
+} // namespace cardamom
--- /dev/null
+++ b/config/rules_parser.h
@@ -0,0 +1,21 @@
+/// \file
+/// Reads the rules and checks them against the inventory.
+
+#ifndef CARDAMOM_CONFIG_RULES_PARSER_H
+#define CARDAMOM_CONFIG_RULES_PARSER_H
+
+#include <nlohmann/json_fwd.hpp>
+#include <string_view>
+
+namespace cardamom {
+
+struct configuration;
+
+/// Adds the rules to Config, whose assets are already there. Throws
+/// config_error; Config is then left half filled.
+void readRules(std::string_view File, const nlohmann::json &Rules,
+               configuration &Config);
+
+} // namespace cardamom
+
+#endif // CARDAMOM_CONFIG_RULES_PARSER_H
