Add run table: state, answers and retention of runs

Cause: entries must learn for certain whether a request has run, and get the whole answer after a reconnect. Change: agent/run_table keeps each run until its retention has passed; readers read by offset, the newest one only; answers are bounded in size each and in total; ids of forgotten runs stay as tombstones; a refused request, which never ran, may be inserted again by a higher attempt. Conclusion: the table is ready for the agent's handlers.

--- /dev/null
+++ b/agent/run_table.cpp
@@ -0,0 +1,364 @@
+#include "agent/run_table.h"
+
+#include "base/invariant.h"
+
+#include <algorithm>
+#include <xxhash.h>
+
+namespace cardamom {
+
+static uint64_t hashOf(std::string_view Id) {
+  return XXH3_64bits(Id.data(), Id.size());
+}
+
+run_table::run_table(run_table_options Options) : Options(std::move(Options)) {}
+
+run_table::record *run_table::find(std::string_view Id) {
+  const auto It = Records.find(std::string(Id));
+  return It == Records.end() ? nullptr : &It->second;
+}
+
+const run_table::record *run_table::find(std::string_view Id) const {
+  const auto It = Records.find(std::string(Id));
+  return It == Records.end() ? nullptr : &It->second;
+}
+
+void run_table::changed(std::string_view Id) const {
+  if (Options.OnChange)
+    Options.OnChange(Id);
+}
+
+void run_table::advance(record &Record, wire::run_state State) {
+  CARDAMOM_INVARIANT(State > Record.State, "the state of a run moves forward");
+  Record.State = State;
+}
+
+insert_result run_table::insert(const run_spec &Spec, time_point Now) {
+  std::lock_guard Lock(Mutex);
+  const auto It = Records.find(Spec.RequestId);
+  if (It != Records.end()) {
+    const record &Known = It->second;
+    if (!Known.End || Known.End->code() != wire::REFUSED ||
+        Spec.Attempt <= Known.Spec.Attempt)
+      return insert_result::Known;
+    // Never started: the new attempt takes the place of the refused one.
+    std::erase(EndedRefused, Spec.RequestId);
+    forget(It, Now);
+  } else if (TombstoneHashes.contains(hashOf(Spec.RequestId))) {
+    return insert_result::Known;
+  }
+  if (Records.size() >= Options.MaxRecords)
+    return insert_result::TableFull;
+  record &Record = Records[Spec.RequestId];
+  Record.Spec = Spec;
+  Record.DetachedAt = Now;
+  if (!Spec.Sample.empty())
+    Samples.emplace(Spec.Sample, Spec.RequestId);
+  Unfinished.insert(Spec.RequestId);
+  return insert_result::Inserted;
+}
+
+bool run_table::start(std::string_view Id) {
+  std::lock_guard Lock(Mutex);
+  record *Record = find(Id);
+  if (Record == nullptr || Record->State != wire::QUEUED)
+    return false;
+  CARDAMOM_INVARIANT(!Record->Started, "a request id is started at most once");
+  Record->Started = true;
+  advance(*Record, wire::RUNNING);
+  return true;
+}
+
+void run_table::setHead(std::string_view Id, wire::response_head Head) {
+  {
+    std::lock_guard Lock(Mutex);
+    record *Record = find(Id);
+    if (Record == nullptr || Record->State != wire::RUNNING || Record->Head)
+      return;
+    Record->Head = std::move(Head);
+  }
+  changed(Id);
+}
+
+void run_table::dropReadBytes(record &Record) {
+  const uint64_t Read = Record.ReadOffset - Record.BaseOffset;
+  if (Record.Reader == 0 || Read == 0)
+    return;
+  Record.Body.erase(0, Read);
+  Record.BaseOffset += Read;
+  TotalBytes -= Read;
+}
+
+bool run_table::makeRoom(record &Record, size_t Bytes) {
+  const auto Fits = [&] {
+    return Record.Body.size() + Bytes <= Options.MaxAnswerBytes &&
+           TotalBytes + Bytes <= Options.MaxTotalBytes;
+  };
+  while (TotalBytes + Bytes > Options.MaxTotalBytes && !WithAnswer.empty()) {
+    if (record *Oldest = find(WithAnswer.front()))
+      dropAnswer(*Oldest);
+    WithAnswer.pop_front();
+  }
+  if (!Fits())
+    dropReadBytes(Record);
+  return Fits();
+}
+
+append_result run_table::append(std::string_view Id, std::string_view Bytes) {
+  {
+    std::lock_guard Lock(Mutex);
+    record *Record = find(Id);
+    if (Record == nullptr || Record->State != wire::RUNNING)
+      return append_result::Ended;
+    if (!makeRoom(*Record, Bytes.size()))
+      return append_result::Full;
+    Record->Body += Bytes;
+    TotalBytes += Bytes.size();
+  }
+  changed(Id);
+  return append_result::Ok;
+}
+
+void run_table::addToken(std::string_view Id, uint64_t Version) {
+  std::lock_guard Lock(Mutex);
+  record *Record = find(Id);
+  if (Record == nullptr || Record->State != wire::RUNNING)
+    return;
+  if (Record->Spans.empty() || Record->Spans.back().version() != Version)
+    Record->Spans.emplace_back().set_version(Version);
+  Record->Spans.back().set_tokens(Record->Spans.back().tokens() + 1);
+}
+
+bool run_table::finish(std::string_view Id, wire::run_end End, time_point Now) {
+  {
+    std::lock_guard Lock(Mutex);
+    record *Record = find(Id);
+    if (Record == nullptr || Record->End)
+      return false;
+    const bool Refused = End.code() == wire::REFUSED;
+    CARDAMOM_INVARIANT(!Refused || (Record->Body.empty() && !Record->Head),
+                       "a run with an answer is never called refused");
+    // A refused run may have been started when the upstream was unreachable.
+    if (Refused)
+      Record->Started = false;
+    End.clear_spans();
+    for (const wire::version_span &Span : Record->Spans)
+      *End.add_spans() = Span;
+    End.set_answer_bytes(Record->BaseOffset + Record->Body.size());
+    Record->End = std::move(End);
+    Record->EndedAt = Now;
+    advance(*Record, wire::FINISHED);
+    Unfinished.erase(std::string(Id));
+    (Refused ? EndedRefused : Ended).emplace_back(Id);
+    if (!Refused) {
+      WithAnswer.emplace_back(Id);
+      ++Held;
+    }
+  }
+  changed(Id);
+  return true;
+}
+
+std::optional<uint64_t> run_table::attach(std::string_view Id, time_point Now) {
+  std::lock_guard Lock(Mutex);
+  record *Record = find(Id);
+  if (Record == nullptr)
+    return std::nullopt;
+  Record->Reader = ++LastReader;
+  Record->ReadOffset = Record->BaseOffset;
+  return Record->Reader;
+}
+
+void run_table::detach(std::string_view Id, uint64_t Token, time_point Now) {
+  std::lock_guard Lock(Mutex);
+  record *Record = find(Id);
+  if (Record == nullptr || Record->Reader != Token)
+    return;
+  Record->Reader = 0;
+  Record->DetachedAt = Now;
+}
+
+void run_table::fillSpans(const record &Record, run_cursor &Cursor,
+                          run_chunk &Chunk) {
+  uint64_t Before = 0;
+  for (const wire::version_span &Span : Record.Spans) {
+    const uint64_t After = Before + Span.tokens();
+    if (After > Cursor.Tokens) {
+      wire::version_span New;
+      New.set_version(Span.version());
+      New.set_tokens(uint32_t(After - std::max(Before, Cursor.Tokens)));
+      Chunk.Spans.push_back(New);
+    }
+    Before = After;
+  }
+  Cursor.Tokens = Before;
+}
+
+run_chunk run_table::read(std::string_view Id, uint64_t Token,
+                          run_cursor &Cursor, size_t MaxBytes) {
+  std::lock_guard Lock(Mutex);
+  run_chunk Chunk;
+  record *Record = find(Id);
+  if (Record == nullptr || Record->Reader != Token)
+    return Chunk;
+  if (Record->State == wire::FINISHED_ANSWER_GONE ||
+      Cursor.Offset < Record->BaseOffset) {
+    Chunk.State = run_chunk::state::Ended;
+    Chunk.End.emplace().set_code(wire::ANSWER_GONE);
+    Chunk.End->set_reason("answer_gone");
+    return Chunk;
+  }
+  Chunk.State = run_chunk::state::Open;
+  if (!Cursor.HeadRead && Record->Head) {
+    Chunk.Head = Record->Head;
+    Cursor.HeadRead = true;
+  }
+  const uint64_t Length = Record->BaseOffset + Record->Body.size();
+  Cursor.Offset = std::min(Cursor.Offset, Length);
+  Chunk.Offset = Cursor.Offset;
+  Chunk.Bytes =
+      Record->Body.substr(Cursor.Offset - Record->BaseOffset, MaxBytes);
+  Cursor.Offset += Chunk.Bytes.size();
+  Record->ReadOffset = Cursor.Offset;
+  fillSpans(*Record, Cursor, Chunk);
+  if (Record->End && Cursor.Offset == Length) {
+    Chunk.State = run_chunk::state::Ended;
+    Chunk.End = Record->End;
+  }
+  return Chunk;
+}
+
+void run_table::dropAnswer(record &Record) {
+  if (Record.State != wire::FINISHED || Record.End->code() == wire::REFUSED)
+    return;
+  TotalBytes -= Record.Body.size();
+  Record.Body = std::string();
+  advance(Record, wire::FINISHED_ANSWER_GONE);
+  --Held;
+}
+
+void run_table::acknowledge(std::string_view Id, time_point Now) {
+  std::lock_guard Lock(Mutex);
+  if (record *Record = find(Id))
+    dropAnswer(*Record);
+}
+
+wire::run_state run_table::query(std::string_view Id) const {
+  std::lock_guard Lock(Mutex);
+  if (const record *Record = find(Id))
+    return Record->State;
+  return TombstoneHashes.contains(hashOf(Id)) ? wire::FINISHED_ANSWER_GONE
+                                              : wire::NEVER_SEEN;
+}
+
+std::optional<wire::run_end> run_table::end(std::string_view Id) const {
+  std::lock_guard Lock(Mutex);
+  const record *Record = find(Id);
+  return Record == nullptr ? std::nullopt : Record->End;
+}
+
+std::vector<std::pair<std::string, std::string>>
+run_table::list(std::string_view SamplePrefix) const {
+  std::lock_guard Lock(Mutex);
+  std::vector<std::pair<std::string, std::string>> Found;
+  for (auto It = Samples.lower_bound({std::string(SamplePrefix), {}});
+       It != Samples.end() && It->first.starts_with(SamplePrefix); ++It) {
+    const record *Record = find(It->second);
+    const bool Refused = Record->End && Record->End->code() == wire::REFUSED;
+    if (Record->State != wire::FINISHED_ANSWER_GONE && !Refused)
+      Found.emplace_back(It->second, It->first);
+  }
+  return Found;
+}
+
+std::vector<std::string> run_table::orphans(time_point Now) const {
+  std::lock_guard Lock(Mutex);
+  std::vector<std::string> Found;
+  for (const std::string &Id : Unfinished) {
+    const record &Record = *find(Id);
+    if (Record.Spec.Idempotent && Record.Reader == 0 &&
+        Now - Record.DetachedAt >= Options.OrphanTimeout)
+      Found.push_back(Id);
+  }
+  return Found;
+}
+
+void run_table::forget(record_map::iterator It, time_point Now) {
+  record &Record = It->second;
+  CARDAMOM_INVARIANT(Record.End, "a record of an unfinished run is kept");
+  dropAnswer(Record);
+  if (!Record.Spec.Sample.empty())
+    Samples.erase({Record.Spec.Sample, It->first});
+  if (Record.End->code() != wire::REFUSED) {
+    const uint64_t Hash = hashOf(It->first);
+    Tombstones.push_back({Hash, Now});
+    ++TombstoneHashes[Hash];
+  }
+  Records.erase(It);
+}
+
+void run_table::dropOldAnswers(time_point Now) {
+  while (!WithAnswer.empty()) {
+    record *Record = find(WithAnswer.front());
+    if (Record != nullptr && Record->State == wire::FINISHED) {
+      if (Now - Record->EndedAt < Options.AnswerRetention)
+        return;
+      dropAnswer(*Record);
+    }
+    WithAnswer.pop_front();
+  }
+}
+
+void run_table::dropRecords(std::deque<std::string> &Ids,
+                            milliseconds Retention, time_point Now) {
+  while (!Ids.empty()) {
+    const auto It = Records.find(Ids.front());
+    CARDAMOM_INVARIANT(It != Records.end() && It->second.End,
+                       "each ended run is listed once");
+    if (Now - It->second.EndedAt < Retention)
+      return;
+    forget(It, Now);
+    Ids.pop_front();
+  }
+}
+
+void run_table::dropTombstones(time_point Now) {
+  while (!Tombstones.empty() &&
+         (Tombstones.size() > Options.MaxTombstones ||
+          Now - Tombstones.front().At >= Options.TombstoneRetention)) {
+    const auto It = TombstoneHashes.find(Tombstones.front().Hash);
+    if (--It->second == 0)
+      TombstoneHashes.erase(It);
+    Tombstones.pop_front();
+  }
+}
+
+void run_table::tick(time_point Now) {
+  std::lock_guard Lock(Mutex);
+  dropOldAnswers(Now);
+  dropRecords(Ended, Options.RecordRetention, Now);
+  dropRecords(EndedRefused, Options.RefusedRetention, Now);
+  dropTombstones(Now);
+}
+
+size_t run_table::records() const {
+  std::lock_guard Lock(Mutex);
+  return Records.size();
+}
+
+size_t run_table::unfinished() const {
+  std::lock_guard Lock(Mutex);
+  return Unfinished.size();
+}
+
+size_t run_table::unacknowledged() const {
+  std::lock_guard Lock(Mutex);
+  return Held;
+}
+
+size_t run_table::bytes() const {
+  std::lock_guard Lock(Mutex);
+  return TotalBytes;
+}
+
+} // namespace cardamom
--- /dev/null
+++ b/agent/run_table.h
@@ -0,0 +1,216 @@
+/// \file
+/// Authoritative state of the runs of one agent.
+///
+/// Use:
+///   run_table Table({.OnChange = wakeReader});
+///   Table.insert({.RequestId = Id, .Idempotent = true}, Now);
+///   Table.start(Id);                    // just before the upstream sees it
+///   Table.setHead(Id, Head);
+///   Table.append(Id, Bytes);            // Full = wait for the reader
+///   Table.finish(Id, End, Now);
+/// and for readers
+///   uint64_t Token = *Table.attach(Id, Now);
+///   Table.read(Id, Token, Cursor, 64 * 1024);
+///
+/// State of a request id only moves forward: queued, running, finished, answer
+/// gone, forgotten. An id is started at most once. The single way back in is
+/// that of a request that was refused, that is, never started: a higher
+/// attempt may insert it again.
+///
+/// Limits: records are kept for RecordRetention after their end, and no more
+/// than MaxRecords of them. Then the hash of the id of a run that was not
+/// refused stays for TombstoneRetention, so that a late query still learns that
+/// it ran. Thread-safe with one lock; every operation costs O(log n) except
+/// append(), which copies the bytes, and tick(), orphans() and list().
+
+#ifndef CARDAMOM_AGENT_RUN_TABLE_H
+#define CARDAMOM_AGENT_RUN_TABLE_H
+
+#include "base/time.h"
+#include "inner/gen/messages.pb.h"
+
+#include <cstdint>
+#include <deque>
+#include <functional>
+#include <mutex>
+#include <optional>
+#include <set>
+#include <string>
+#include <string_view>
+#include <unordered_map>
+#include <utility>
+#include <vector>
+
+namespace cardamom {
+
+struct run_spec {
+  std::string RequestId;
+  uint32_t Attempt = 0;
+  bool Idempotent = false;
+  /// "trainer/step/group/index"; empty for live requests.
+  std::string Sample;
+};
+
+enum class insert_result {
+  Inserted,
+  /// The id has a record or a tombstone; nothing was changed.
+  Known,
+  /// MaxRecords are held; nothing was inserted.
+  TableFull,
+};
+
+enum class append_result {
+  Ok,
+  /// No room until a reader catches up. Nothing was appended.
+  Full,
+  /// The run is not running.
+  Ended,
+};
+
+/// Position of one reader in one answer.
+struct run_cursor {
+  uint64_t Offset = 0;
+  bool HeadRead = false;
+  /// Tokens whose spans the reader has.
+  uint64_t Tokens = 0;
+};
+
+/// What is new for a reader.
+struct run_chunk {
+  enum class state {
+    /// More may follow.
+    Open,
+    /// End is set and nothing follows.
+    Ended,
+    /// Another reader has attached since, or the record is gone.
+    Detached,
+  };
+  state State = state::Detached;
+  std::optional<wire::response_head> Head;
+  uint64_t Offset = 0;
+  std::string Bytes;
+  std::vector<wire::version_span> Spans;
+  std::optional<wire::run_end> End;
+};
+
+struct run_table_options {
+  size_t MaxRecords = 100000;
+  size_t MaxTombstones = 200000;
+  size_t MaxAnswerBytes = size_t(8) << 20;
+  size_t MaxTotalBytes = size_t(64) << 20;
+  milliseconds AnswerRetention{120000};
+  milliseconds RecordRetention{600000};
+  /// A refused request never ran, so that forgetting it early is harmless: a
+  /// query then answers never_seen.
+  milliseconds RefusedRetention{30000};
+  milliseconds TombstoneRetention{3600000};
+  milliseconds OrphanTimeout{30000};
+  /// Called without the lock after each change that a reader can see.
+  std::function<void(std::string_view RequestId)> OnChange;
+};
+
+class run_table {
+public:
+  explicit run_table(run_table_options Options);
+
+  insert_result insert(const run_spec &Spec, time_point Now);
+  /// Moves a queued run to running. Returns false when it does not wait
+  /// (refused or cancelled, started before, unknown): it must not be run then.
+  bool start(std::string_view Id);
+  void setHead(std::string_view Id, wire::response_head Head);
+  append_result append(std::string_view Id, std::string_view Bytes);
+  /// Adds one token of a weight version.
+  void addToken(std::string_view Id, uint64_t Version);
+  /// Ends the run; spans and length are filled in. Returns false when it has
+  /// ended before. REFUSED needs a run that did not reach the upstream.
+  bool finish(std::string_view Id, wire::run_end End, time_point Now);
+
+  /// Makes the caller the only reader. Returns nothing when there is no
+  /// record.
+  std::optional<uint64_t> attach(std::string_view Id, time_point Now);
+  /// Does nothing when another reader has attached since.
+  void detach(std::string_view Id, uint64_t Token, time_point Now);
+  /// Reads up to MaxBytes from the cursor, which moves on.
+  run_chunk read(std::string_view Id, uint64_t Token, run_cursor &Cursor,
+                 size_t MaxBytes);
+  void acknowledge(std::string_view Id, time_point Now);
+
+  [[nodiscard]] wire::run_state query(std::string_view Id) const;
+  /// End of a finished run.
+  [[nodiscard]] std::optional<wire::run_end> end(std::string_view Id) const;
+  /// Runs with a record and an answer, whose sample starts with Prefix.
+  [[nodiscard]] std::vector<std::pair<std::string, std::string>>
+  list(std::string_view SamplePrefix) const;
+
+  /// Idempotent runs without a reader for OrphanTimeout that have not ended.
+  [[nodiscard]] std::vector<std::string> orphans(time_point Now) const;
+  /// Drops answers, records and tombstones whose retention has passed.
+  void tick(time_point Now);
+
+  [[nodiscard]] size_t records() const;
+  [[nodiscard]] size_t unfinished() const;
+  /// Ended runs whose answer is held and not acknowledged.
+  [[nodiscard]] size_t unacknowledged() const;
+  [[nodiscard]] size_t bytes() const;
+
+private:
+  struct record {
+    run_spec Spec;
+    wire::run_state State = wire::QUEUED;
+    /// Whether the upstream may have seen it.
+    bool Started = false;
+    std::optional<wire::response_head> Head;
+    /// Answer from BaseOffset on.
+    std::string Body;
+    uint64_t BaseOffset = 0;
+    /// What the present reader has taken.
+    uint64_t ReadOffset = 0;
+    std::vector<wire::version_span> Spans;
+    std::optional<wire::run_end> End;
+    time_point EndedAt;
+    /// 0 = no reader.
+    uint64_t Reader = 0;
+    time_point DetachedAt;
+  };
+  using record_map = std::unordered_map<std::string, record>;
+  struct tombstone {
+    uint64_t Hash;
+    time_point At;
+  };
+
+  record *find(std::string_view Id);
+  [[nodiscard]] const record *find(std::string_view Id) const;
+  void changed(std::string_view Id) const;
+  void advance(record &Record, wire::run_state State);
+  bool makeRoom(record &Record, size_t Bytes);
+  void dropReadBytes(record &Record);
+  void dropAnswer(record &Record);
+  void dropOldAnswers(time_point Now);
+  void forget(record_map::iterator It, time_point Now);
+  void dropRecords(std::deque<std::string> &Ended, milliseconds Retention,
+                   time_point Now);
+  void dropTombstones(time_point Now);
+  static void fillSpans(const record &Record, run_cursor &Cursor,
+                        run_chunk &Chunk);
+
+  run_table_options Options;
+  mutable std::mutex Mutex;
+  record_map Records;
+  /// (sample, request id) of records with a sample.
+  std::set<std::pair<std::string, std::string>> Samples;
+  /// Ids in the order of their ends.
+  std::deque<std::string> Ended;
+  std::deque<std::string> EndedRefused;
+  /// Ids whose answer may be held, in the order of their ends.
+  std::deque<std::string> WithAnswer;
+  std::deque<tombstone> Tombstones;
+  std::unordered_map<uint64_t, unsigned> TombstoneHashes;
+  size_t TotalBytes = 0;
+  std::set<std::string> Unfinished;
+  size_t Held = 0;
+  uint64_t LastReader = 0;
+};
+
+} // namespace cardamom
+
+#endif // CARDAMOM_AGENT_RUN_TABLE_H
--- /dev/null
+++ b/agent/run_table_test.cpp
@@ -0,0 +1,115 @@
+#include "agent/run_table.h"
+
+#include <cppunit/extensions/HelperMacros.h>
+
+namespace cardamom {
+
+class run_table_test : public CppUnit::TestFixture {
+  CPPUNIT_TEST_SUITE(run_table_test);
+  CPPUNIT_TEST(readsFromOffsetAfterAttach);
+  CPPUNIT_TEST(dropsOldestAnswerUnderPressure);
+  CPPUNIT_TEST(longAnswerPassesThroughReader);
+  CPPUNIT_TEST(listsOrphansAndSamples);
+  CPPUNIT_TEST(refusedRequestMayComeAgain);
+  CPPUNIT_TEST_SUITE_END();
+
+  static void complete(run_table &Table, std::string_view Id,
+                       std::string_view Answer, time_point Now = {}) {
+    Table.insert({.RequestId = std::string(Id), .Idempotent = true}, Now);
+    CPPUNIT_ASSERT(Table.start(Id));
+    CPPUNIT_ASSERT(Table.append(Id, Answer) == append_result::Ok);
+    CPPUNIT_ASSERT(Table.finish(Id, {}, Now));
+  }
+
+public:
+  // Guards against lost or repeated bytes when an entry reconnects.
+  void readsFromOffsetAfterAttach() {
+    run_table Table({});
+    complete(Table, "a", "0123456789");
+    const uint64_t Old = *Table.attach("a", {});
+    const uint64_t Token = *Table.attach("a", {});
+    run_cursor Cursor{.Offset = 4};
+    CPPUNIT_ASSERT(Table.read("a", Old, Cursor, 3).State ==
+                   run_chunk::state::Detached);
+    run_chunk Chunk = Table.read("a", Token, Cursor, 3);
+    CPPUNIT_ASSERT_EQUAL(uint64_t(4), Chunk.Offset);
+    CPPUNIT_ASSERT_EQUAL(std::string("456"), Chunk.Bytes);
+    CPPUNIT_ASSERT(!Chunk.End.has_value());
+    Chunk = Table.read("a", Token, Cursor, 100);
+    CPPUNIT_ASSERT_EQUAL(std::string("789"), Chunk.Bytes);
+    CPPUNIT_ASSERT_EQUAL(uint64_t(10), Chunk.End->answer_bytes());
+  }
+
+  // Guards against memory without bound when entries do not acknowledge.
+  void dropsOldestAnswerUnderPressure() {
+    run_table Table({.MaxTotalBytes = 20});
+    complete(Table, "a", "0123456789");
+    complete(Table, "b", "0123456789");
+    complete(Table, "c", "0");
+    CPPUNIT_ASSERT(Table.query("a") == wire::FINISHED_ANSWER_GONE);
+    CPPUNIT_ASSERT(Table.query("b") == wire::FINISHED);
+    CPPUNIT_ASSERT_EQUAL(size_t(11), Table.bytes());
+    run_cursor Cursor;
+    const run_chunk Chunk =
+        Table.read("a", *Table.attach("a", {}), Cursor, 100);
+    CPPUNIT_ASSERT(Chunk.End->code() == wire::ANSWER_GONE);
+  }
+
+  // Guards against a complete answer that is cut because it is long, and
+  // against an answer with a hole for a reader that comes back too late.
+  void longAnswerPassesThroughReader() {
+    run_table Table({.MaxAnswerBytes = 10});
+    Table.insert({.RequestId = "a"}, {});
+    Table.start("a");
+    uint64_t Token = *Table.attach("a", {});
+    run_cursor Cursor;
+    CPPUNIT_ASSERT(Table.append("a", "0123456789") == append_result::Ok);
+    CPPUNIT_ASSERT(Table.append("a", "x") == append_result::Full);
+    Table.read("a", Token, Cursor, 5);
+    CPPUNIT_ASSERT(Table.append("a", "abcde") == append_result::Ok);
+    CPPUNIT_ASSERT_EQUAL(std::string("56789abcde"),
+                         Table.read("a", Token, Cursor, 100).Bytes);
+    Token = *Table.attach("a", {});
+    Cursor = {};
+    CPPUNIT_ASSERT(Table.read("a", Token, Cursor, 100).End->code() ==
+                   wire::ANSWER_GONE);
+  }
+
+  // Guards against engines that work for callers that are gone, and against
+  // samples that a new step owner cannot find.
+  void listsOrphansAndSamples() {
+    run_table Table({});
+    const time_point Start;
+    Table.insert({.RequestId = "a", .Idempotent = true, .Sample = "t/1/0/0"},
+                 Start);
+    Table.insert({.RequestId = "b", .Sample = "t/10/0/0"}, Start);
+    CPPUNIT_ASSERT(Table.orphans(Start + milliseconds(29999)).empty());
+    CPPUNIT_ASSERT(Table.orphans(Start + milliseconds(30000)) ==
+                   std::vector<std::string>{"a"});
+    Table.attach("a", Start);
+    CPPUNIT_ASSERT(Table.orphans(Start + milliseconds(60000)).empty());
+    CPPUNIT_ASSERT_EQUAL(size_t(1), Table.list("t/1/").size());
+    CPPUNIT_ASSERT_EQUAL(size_t(2), Table.list("t/").size());
+  }
+
+  // Guards against a caller that is refused for good by a passing overload.
+  void refusedRequestMayComeAgain() {
+    run_table Table({});
+    const auto Insert = [&](uint32_t Attempt) {
+      return Table.insert({.RequestId = "a", .Attempt = Attempt}, {});
+    };
+    CPPUNIT_ASSERT(Insert(0) == insert_result::Inserted);
+    wire::run_end End;
+    End.set_code(wire::REFUSED);
+    Table.finish("a", End, {});
+    CPPUNIT_ASSERT(Insert(0) == insert_result::Known);
+    CPPUNIT_ASSERT(Insert(1) == insert_result::Inserted);
+    CPPUNIT_ASSERT(Table.start("a"));
+    Table.finish("a", {}, {});
+    CPPUNIT_ASSERT(Insert(2) == insert_result::Known);
+  }
+};
+
+CPPUNIT_TEST_SUITE_NAMED_REGISTRATION(run_table_test, "run_table_test");
+
+} // namespace cardamom
