--- /dev/null
+++ b/entry/classify.cpp
@@ -0,0 +1,100 @@
+#include "entry/classify.h"
+
+#include <string_view>
+#include <utility>
+
+namespace cardamom {
+
+// A missing record proves something only when it comes from the same agent
+// process over a connection that was opened after the request was sent: that
+// agent closed the older connection, with its unread bytes, before it accepted
+// the newer one.
+static bool provesAbsence(const run_outcome &Outcome) {
+  return Outcome.SentIncarnation != 0 &&
+         Outcome.AnswerIncarnation == Outcome.SentIncarnation &&
+         Outcome.AnswerEpoch > Outcome.SentEpoch;
+}
+
+static run_certainty certainty(const run_outcome &Outcome) {
+  switch (Outcome.Kind) {
+  case outcome_kind::Completed:
+    return run_certainty::Ran;
+  case outcome_kind::NeverSent:
+  case outcome_kind::RefusedByAgent:
+    return run_certainty::NotRun;
+  case outcome_kind::NeverSeen:
+    return provesAbsence(Outcome) ? run_certainty::NotRun
+                                  : run_certainty::MayHaveRun;
+  case outcome_kind::RefusedAfterAttach:
+    // A refusal by a later incarnation says nothing about the run.
+    return Outcome.SentIncarnation != 0 &&
+                   Outcome.AnswerIncarnation == Outcome.SentIncarnation
+               ? run_certainty::NotRun
+               : run_certainty::MayHaveRun;
+  case outcome_kind::UpstreamFailed:
+  case outcome_kind::Preempted:
+  case outcome_kind::Cancelled:
+  case outcome_kind::AnswerGone:
+  case outcome_kind::KeyClaimed:
+  case outcome_kind::OtherIncarnation:
+  case outcome_kind::NoReconnection:
+  case outcome_kind::DeadlinePassed:
+  case outcome_kind::BadAnswer:
+    break;
+  }
+  return run_certainty::MayHaveRun;
+}
+
+static std::string_view defaultReason(outcome_kind Kind) {
+  switch (Kind) {
+  case outcome_kind::Completed:
+    return "completed";
+  case outcome_kind::NeverSent:
+    return "not_connected";
+  case outcome_kind::RefusedByAgent:
+  case outcome_kind::RefusedAfterAttach:
+    return "refused";
+  case outcome_kind::NeverSeen:
+    return "connection_lost";
+  case outcome_kind::UpstreamFailed:
+    return "upstream_failed";
+  case outcome_kind::Preempted:
+    return "preempted";
+  case outcome_kind::Cancelled:
+    return "cancelled";
+  case outcome_kind::AnswerGone:
+    return "answer_gone";
+  case outcome_kind::KeyClaimed:
+    return "key_claimed";
+  case outcome_kind::OtherIncarnation:
+    return "agent_restarted";
+  case outcome_kind::NoReconnection:
+    return "connection_lost";
+  case outcome_kind::DeadlinePassed:
+    return "deadline_passed";
+  case outcome_kind::BadAnswer:
+    break;
+  }
+  return "bad_answer";
+}
+
+verdict classify(const run_outcome &Outcome) {
+  verdict Verdict{.Certainty = certainty(Outcome),
+                  .Reason = Outcome.Reason,
+                  .Message = Outcome.Message,
+                  .RetryAfter = Outcome.RetryAfter};
+  if (Verdict.Reason.empty())
+    Verdict.Reason = defaultReason(Outcome.Kind);
+  if (Verdict.Message.empty())
+    Verdict.Message = "the request ended as " + Verdict.Reason;
+  return Verdict;
+}
+
+verdict combine(const verdict &Earlier, verdict Latest) {
+  if (Latest.Certainty == run_certainty::NotRun &&
+      Earlier.Certainty != run_certainty::NotRun)
+    Latest.Certainty = run_certainty::MayHaveRun;
+  return Latest;
+}
+
+} // namespace cardamom
