--- a/entry/classify.h
+++ b/entry/classify.h
@@ -52,8 +52,8 @@
   /// RefusedAfterAttach.
   uint64_t AnswerIncarnation = 0;
   uint64_t AnswerEpoch = 0;
-  std::string Reason;
-  std::string Message;
+  std::string Reason{};
+  std::string Message{};
   milliseconds RetryAfter{0};
 };
 
--- /dev/null
+++ b/entry/dispatcher.cpp
@@ -0,0 +1,361 @@
+#include "entry/dispatcher.h"
+
+#include "entry/dispatcher_request.h"
+
+#include <algorithm>
+#include <utility>
+#include <xxhash.h>
+
+namespace cardamom {
+
+// A request without an eligible upstream looks again after this time.
+static constexpr milliseconds NoUpstreamPoll{20};
+// Upper limit of the loop's sleep; timers and events end it earlier.
+static constexpr milliseconds MaxSleep{1000};
+
+static stream_hooks ignoreAnswer() {
+  return {.OnMessage = [](std::string_view) {},
+          .OnClose = [](stream_end, std::string_view) {}};
+}
+
+dispatcher::dispatcher(dispatcher_options Options)
+    : Options(std::move(Options)), Router({.Random = this->Options.Random}),
+      Budget([this] {
+        retry_budget_options Budget = this->Options.Budget;
+        if (!Budget.Random)
+          Budget.Random = this->Options.Random;
+        return Budget;
+      }()) {}
+
+dispatcher::~dispatcher() = default;
+
+bool dispatcher::post(task Task) {
+  {
+    std::lock_guard Lock(QueueMutex);
+    if (Stopping)
+      return false;
+    Queue.push_back(std::move(Task));
+  }
+  QueueChanged.notify_one();
+  return true;
+}
+
+void dispatcher::withRequest(
+    dispatch_id Id, std::function<void(request &, time_point)> Action) {
+  post([this, Id, Action = std::move(Action)](time_point Now) {
+    const auto It = Requests.find(Id);
+    if (It != Requests.end() && It->second->Phase != request_phase::Ended)
+      Action(*It->second, Now);
+  });
+}
+
+dispatch_id dispatcher::start(dispatch_call Call, dispatch_sink Sink) {
+  const dispatch_id Id = NextId.fetch_add(1);
+  InFlight.fetch_add(1);
+  auto R = std::make_shared<request>();
+  R->Id = Id;
+  R->Exclude = Call.Exclude;
+  R->Call = std::move(Call);
+  R->Sink = std::move(Sink);
+  const bool Accepted = post([this, R](time_point Now) {
+    request &Stored =
+        *(Requests[R->Id] = std::make_unique<request>(std::move(*R)));
+    Budget.onRequest(Now);
+    Stored.NoUpstreamUntil = Now + Options.NoUpstreamWait;
+    if (Stored.Call.AdoptFrom.empty())
+      tryNext(Stored, Now);
+    else
+      adopt(Stored, Now);
+  });
+  if (!Accepted)
+    finish(*R, outcome_kind::NeverSent,
+           {.Certainty = run_certainty::NotRun,
+            .Reason = "shutting_down",
+            .Message = "this entry is shutting down",
+            .RetryAfter = milliseconds(100)});
+  return Id;
+}
+
+void dispatcher::cancel(dispatch_id Id) {
+  withRequest(Id, [this](request &R, time_point Now) {
+    if (R.Phase == request_phase::Waiting) {
+      finish(R, outcome_kind::Cancelled, R.Verdict);
+      return;
+    }
+    R.CancelSent = true;
+    sendCancel(R);
+  });
+}
+
+void dispatcher::abandon(dispatch_id Id) {
+  withRequest(Id, [this](request &R, time_point Now) {
+    if (R.Phase == request_phase::Waiting) {
+      finish(R, outcome_kind::Cancelled, R.Verdict);
+      return;
+    }
+    if (R.Call.Request->idempotent())
+      sendCancel(R);
+    verdict Latest = classify(outcomeOf(R, outcome_kind::Cancelled));
+    finish(R, outcome_kind::Cancelled, combine(R.Verdict, std::move(Latest)));
+  });
+}
+
+void dispatcher::consume(dispatch_id Id, size_t Bytes) {
+  withRequest(Id, [this, Bytes](request &R, time_point) {
+    const size_t Released = std::min(Bytes, R.Unconsumed);
+    R.Unconsumed -= Released;
+    if (Released > 0 && R.Stream != 0)
+      Options.Consume(R.Stream, Released);
+  });
+}
+
+void dispatcher::acknowledge(std::string Address, std::string RequestId) {
+  post([this, Address = std::move(Address),
+        RequestId = std::move(RequestId)](time_point) {
+    wire::ack_request Ack;
+    Ack.add_request_ids(RequestId);
+    Options.Open(Address, "/ack", Ack.SerializeAsString(), ignoreAnswer());
+  });
+}
+
+void dispatcher::onPeerUp(std::string_view Address, const peer_identity &Peer,
+                          uint64_t Epoch) {
+  post([this, Address = std::string(Address), Incarnation = Peer.Incarnation,
+        Epoch](time_point Now) {
+    Peers[Address] = {
+        .Connected = true, .Incarnation = Incarnation, .Epoch = Epoch};
+    onPeerChange(Address, Now);
+  });
+}
+
+void dispatcher::onPeerDown(std::string_view Address) {
+  post([this, Address = std::string(Address)](time_point) {
+    Peers[Address].Connected = false;
+  });
+}
+
+void dispatcher::wakeAt(request &R, time_point At) {
+  R.WakeAt = std::min(At, R.Call.Deadline);
+  Timers.emplace(R.WakeAt, R.Id);
+}
+
+void dispatcher::poll(time_point Now) {
+  std::deque<task> Due;
+  {
+    std::lock_guard Lock(QueueMutex);
+    Due.swap(Queue);
+  }
+  for (task &Task : Due)
+    Task(Now);
+  while (!Timers.empty() && Timers.begin()->first <= Now) {
+    const auto [At, Id] = *Timers.begin();
+    Timers.erase(Timers.begin());
+    const auto It = Requests.find(Id);
+    if (It != Requests.end() && It->second->WakeAt == At)
+      onTimer(*It->second, Now);
+  }
+  std::erase_if(Requests, [](const auto &Item) {
+    return Item.second->Phase == request_phase::Ended;
+  });
+}
+
+void dispatcher::run() {
+  while (true) {
+    poll(steady_clock::now());
+    std::unique_lock Lock(QueueMutex);
+    if (Stopping)
+      break;
+    time_point Until = steady_clock::now() + MaxSleep;
+    if (!Timers.empty())
+      Until = std::min(Until, Timers.begin()->first);
+    QueueChanged.wait_until(Lock, Until,
+                            [&] { return Stopping || !Queue.empty(); });
+  }
+  // No further tasks are accepted; those that were run now.
+  poll(steady_clock::now());
+  endAll();
+}
+
+void dispatcher::endAll() {
+  for (auto &[Id, R] : Requests) {
+    if (R->Phase == request_phase::Ended)
+      continue;
+    verdict Latest = R->Verdict;
+    if (R->Phase != request_phase::Waiting)
+      Latest =
+          combine(Latest, classify(outcomeOf(*R, outcome_kind::Cancelled)));
+    finish(*R, outcome_kind::Cancelled, std::move(Latest));
+  }
+  Requests.clear();
+}
+
+void dispatcher::stop() {
+  {
+    std::lock_guard Lock(QueueMutex);
+    Stopping = true;
+  }
+  QueueChanged.notify_one();
+}
+
+void dispatcher::trace(const request &R, std::string_view Event,
+                       std::string_view Detail, time_point Now) {
+  if (Options.Trace)
+    Options.Trace(R.Call.Request->request_id(), Event, Detail, Now);
+}
+
+double dispatcher::predictMs(std::string_view Pool, double Work,
+                             uint64_t MinVersion, const std::string &Except,
+                             time_point Now) {
+  const std::vector<upstream_view> Views = Options.Views(Pool);
+  route_request Request;
+  Request.Work = Work;
+  Request.MinVersion = MinVersion;
+  Request.Exclude = std::span(&Except, 1);
+  Request.OwnFailureDomain = Options.OwnFailureDomain;
+  std::lock_guard Lock(RouterMutex);
+  const auto Best = Router.pick(Request, Views, Now);
+  return Best ? Router.predictMs(Request, Views[*Best], Now) : -1;
+}
+
+// Rendezvous hashing: each key has its own order of upstreams, and an upstream
+// that leaves moves only its own keys.
+static std::optional<upstream_view>
+firstByKey(std::string_view Key, const std::vector<upstream_view> &Views,
+           const std::vector<std::string> &Exclude) {
+  std::optional<upstream_view> Best;
+  uint64_t BestScore = 0;
+  for (const upstream_view &View : Views) {
+    if (!View.Connected || View.Draining ||
+        std::find(Exclude.begin(), Exclude.end(), View.Name) != Exclude.end())
+      continue;
+    const std::string Text = std::string(Key) + '\0' + View.Name;
+    const uint64_t Score = XXH3_64bits(Text.data(), Text.size());
+    if (Best && Score <= BestScore)
+      continue;
+    Best = View;
+    BestScore = Score;
+  }
+  return Best;
+}
+
+std::optional<upstream_view> dispatcher::choose(request &R, time_point Now) {
+  const std::vector<upstream_view> Views = Options.Views(R.Call.Pool);
+  const wire::run_request &Request = *R.Call.Request;
+  if (!Request.idempotent() && !Request.idempotency_key().empty())
+    return firstByKey(Request.idempotency_key(), Views, R.Exclude);
+  route_request Route = R.routeRequest();
+  Route.OwnFailureDomain = Options.OwnFailureDomain;
+  std::lock_guard Lock(RouterMutex);
+  const auto Index = Router.pick(Route, Views, Now);
+  if (!Index)
+    return std::nullopt;
+  return Views[*Index];
+}
+
+void dispatcher::tryNext(request &R, time_point Now) {
+  R.Phase = request_phase::Waiting;
+  std::optional<upstream_view> Upstream = choose(R, Now);
+  if (!Upstream && R.Exclude.size() > R.Call.Exclude.size()) {
+    // Better the same upstream again than none.
+    R.Exclude = R.Call.Exclude;
+    Upstream = choose(R, Now);
+  }
+  if (Upstream) {
+    send(R, *Upstream, Now);
+    return;
+  }
+  if (Now >= R.NoUpstreamUntil || Now >= R.Call.Deadline) {
+    finish(R, outcome_kind::NeverSent, R.Verdict);
+    return;
+  }
+  wakeAt(R, Now + NoUpstreamPoll);
+}
+
+void dispatcher::send(request &R, const upstream_view &Upstream,
+                      time_point Now) {
+  ++R.Attempt;
+  R.Upstream = Upstream.Name;
+  R.Address = Options.AddressOf(Upstream.Name).value_or("");
+  const peer_view &Peer = Peers[R.Address];
+  R.Incarnation = Peer.Incarnation;
+  R.SentEpoch = Peer.Epoch;
+  R.RunId = R.Call.Request->request_id();
+  R.HolderAttached = R.Attaching = R.CancelSent = false;
+  R.AttachTries = 0;
+  R.HeadRelayed = R.WholeOutput = false;
+  R.Offset = 0;
+  R.Spans.clear();
+  R.SentAt = Now;
+  R.Routed = true;
+  {
+    std::lock_guard Lock(RouterMutex);
+    Router.onDispatch(R.Upstream, R.routeRequest(), Now);
+  }
+  trace(R, "sent", R.Upstream, Now);
+  if (!Peer.Connected) {
+    attemptEnded(R, outcomeOf(R, outcome_kind::NeverSent), Now);
+    return;
+  }
+  wire::run_request &Request = *R.Call.Request;
+  Request.set_attempt(R.Attempt);
+  Request.set_agent_incarnation(R.Incarnation);
+  Request.set_config_version(Options.ConfigVersion());
+  const auto Left =
+      std::chrono::duration_cast<milliseconds>(R.Call.Deadline - Now).count();
+  Request.set_remaining_ms(uint32_t(std::max<int64_t>(1, Left)));
+  wakeAt(R, R.Call.Deadline);
+  openStream(R, "/run", Request.SerializeAsString());
+}
+
+void dispatcher::adopt(request &R, time_point Now) {
+  R.Attempt = 1;
+  R.Upstream = R.Call.AdoptFrom;
+  R.Address = Options.AddressOf(R.Upstream).value_or("");
+  R.RunId = R.Call.Request->request_id();
+  R.Incarnation = Peers[R.Address].Incarnation;
+  // The run may have come over any connection so far, so that a missing record
+  // is no evidence.
+  R.SentEpoch = ~uint64_t(0);
+  R.SentAt = Now;
+  R.Routed = true;
+  {
+    std::lock_guard Lock(RouterMutex);
+    Router.onDispatch(R.Upstream, R.routeRequest(), Now);
+  }
+  attach(R, Now);
+}
+
+void dispatcher::openStream(request &R, std::string_view Path,
+                            const std::string &Message) {
+  R.Phase = request_phase::Streaming;
+  R.Unconsumed = 0;
+  const dispatch_id Id = R.Id;
+  const uint64_t Serial = ++R.StreamSerial;
+  stream_hooks Hooks;
+  Hooks.OnMessage = [this, Id, Serial](std::string_view Text) {
+    withRequest(Id, [this, Serial, Text = std::string(Text)](request &Live,
+                                                             time_point Now) {
+      if (Live.StreamSerial == Serial)
+        onMessage(Live, Text, Now);
+    });
+  };
+  Hooks.OnClose = [this, Id, Serial](stream_end How, std::string_view Reason) {
+    withRequest(Id, [this, Serial, How, Reason = std::string(Reason)](
+                        request &Live, time_point Now) {
+      if (Live.StreamSerial == Serial)
+        onClosed(Live, How, Reason, Now);
+    });
+  };
+  R.Stream = Options.Open(R.Address, Path, Message, std::move(Hooks));
+  Options.HoldWindow(R.Stream);
+}
+
+void dispatcher::sendCancel(const request &R) {
+  wire::cancel_request Cancel;
+  Cancel.add_request_ids(R.RunId);
+  Cancel.set_reason("cancelled_by_entry");
+  Options.Open(R.Address, "/cancel", Cancel.SerializeAsString(),
+               ignoreAnswer());
+}
+
+} // namespace cardamom
--- /dev/null
+++ b/entry/dispatcher.h
@@ -0,0 +1,173 @@
+/// \file
+/// Runs requests to their ends: picks an upstream, sends "/run", relays the
+/// answer, attaches again after a broken connection, and retries what may be
+/// retried.
+///
+/// Use:
+///   dispatcher Dispatcher({.Open = ..., .Views = ..., .AddressOf = ...});
+///   std::thread Loop([&] { Dispatcher.run(); });
+///   dispatch_id Id = Dispatcher.start(Call, Sink); // any thread
+///   Dispatcher.cancel(Id);
+///
+/// One thread runs all requests: run(), or poll() with a given time in tests.
+/// Everything that comes from other threads passes through a queue in order;
+/// this order makes the epoch of a peer, as seen here, the epoch of the
+/// connection that carried the event at hand. The queue is bounded by the
+/// 256 KiB window of each stream, which opens only after a message has been
+/// handled.
+
+#ifndef CARDAMOM_ENTRY_DISPATCHER_H
+#define CARDAMOM_ENTRY_DISPATCHER_H
+
+#include "entry/dispatch.h"
+#include "inner/inner_client.h"
+#include "policy/retry_budget.h"
+#include "policy/router.h"
+
+#include <atomic>
+#include <condition_variable>
+#include <deque>
+#include <map>
+#include <memory>
+#include <mutex>
+#include <optional>
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace cardamom {
+
+namespace wire {
+class answer_data;
+class run_end;
+class run_event;
+} // namespace wire
+
+struct dispatcher_options {
+  /// inner_client::open, cancel, holdWindow and consume.
+  std::function<inner_client::stream_id(
+      std::string_view Address, std::string_view Path, std::string_view Message,
+      stream_hooks Hooks)>
+      Open;
+  std::function<void(inner_client::stream_id)> CancelStream;
+  std::function<void(inner_client::stream_id)> HoldWindow;
+  std::function<void(inner_client::stream_id, size_t Bytes)> Consume;
+  /// upstream_directory::views and addressOf.
+  std::function<std::vector<upstream_view>(std::string_view Pool)> Views;
+  std::function<std::optional<std::string>(std::string_view Name)> AddressOf;
+  std::function<uint64_t()> ConfigVersion;
+  /// Uniform random number in [0, 1).
+  std::function<double()> Random;
+  /// Event of one request, for "/trace". May be empty.
+  std::function<void(std::string_view RequestId, std::string_view Event,
+                     std::string_view Detail, time_point Now)>
+      Trace;
+  std::string OwnFailureDomain;
+  retry_budget_options Budget;
+  /// How long a request waits for an eligible upstream before it is refused.
+  milliseconds NoUpstreamWait{1000};
+};
+
+class dispatcher {
+public:
+  explicit dispatcher(dispatcher_options Options);
+  ~dispatcher();
+  dispatcher(const dispatcher &) = delete;
+  dispatcher &operator=(const dispatcher &) = delete;
+
+  /// The following calls are thread-safe and never block.
+  dispatch_id start(dispatch_call Call, dispatch_sink Sink);
+  /// Asks the agent to cancel the run. OnEnd follows with what the run
+  /// produced, or with Cancelled when nothing was sent yet.
+  void cancel(dispatch_id Id);
+  /// Ends the request here at once, as Cancelled. The agent is told to cancel
+  /// the run when it is idempotent.
+  void abandon(dispatch_id Id);
+  /// Bytes of OnData that a consumer with ManualConsume has used up.
+  void consume(dispatch_id Id, size_t Bytes);
+  /// Lets the agent discard an answer that has been received in full.
+  void acknowledge(std::string Address, std::string RequestId);
+  void onPeerUp(std::string_view Address, const peer_identity &Peer,
+                uint64_t Epoch);
+  void onPeerDown(std::string_view Address);
+
+  /// Handles everything that is due at Now.
+  void poll(time_point Now);
+  /// Handles events until stop(). Requests in flight then end as Cancelled.
+  void run();
+  void stop();
+
+  [[nodiscard]] size_t inFlight() const { return InFlight.load(); }
+  /// Predicted time of Work on the best upstream of the pool other than
+  /// Except; negative when there is none. Thread-safe.
+  [[nodiscard]] double predictMs(std::string_view Pool, double Work,
+                                 uint64_t MinVersion, const std::string &Except,
+                                 time_point Now);
+
+private:
+  struct request;
+  using task = std::function<void(time_point Now)>;
+
+  /// Returns false after stop().
+  bool post(task Task);
+  void withRequest(dispatch_id Id,
+                   std::function<void(request &, time_point)> Action);
+  void onTimer(request &R, time_point Now);
+  void wakeAt(request &R, time_point At);
+  void trace(const request &R, std::string_view Event, std::string_view Detail,
+             time_point Now);
+
+  // Attempts (dispatcher.cpp).
+  void tryNext(request &R, time_point Now);
+  std::optional<upstream_view> choose(request &R, time_point Now);
+  void send(request &R, const upstream_view &Upstream, time_point Now);
+  void adopt(request &R, time_point Now);
+  void openStream(request &R, std::string_view Path,
+                  const std::string &Message);
+  void sendCancel(const request &R);
+
+  // Events (dispatcher_events.cpp).
+  void onMessage(request &R, std::string_view Message, time_point Now);
+  void onData(request &R, const wire::answer_data &Data, time_point Now);
+  void onEnd(request &R, const wire::run_end &End, time_point Now);
+  void onClosed(request &R, stream_end How, std::string_view Reason,
+                time_point Now);
+  void attach(request &R, time_point Now);
+  void attachToHolder(request &R, const wire::run_end &End, time_point Now);
+  void onPeerChange(const std::string &Address, time_point Now);
+  void attemptEnded(request &R, run_outcome Outcome, time_point Now);
+  bool planRetry(request &R, const verdict &Latest, time_point Now);
+  void settleRouter(request &R, outcome_kind Kind, time_point Now);
+  void finish(request &R, outcome_kind Kind, verdict Verdict);
+  void endAll();
+  [[nodiscard]] run_outcome outcomeOf(const request &R,
+                                      outcome_kind Kind) const;
+
+  /// Connection to one agent as of the event at hand.
+  struct peer_view {
+    bool Connected = false;
+    uint64_t Incarnation = 0;
+    uint64_t Epoch = 0;
+  };
+
+  dispatcher_options Options;
+  std::mutex QueueMutex;
+  std::condition_variable QueueChanged;
+  std::deque<task> Queue;
+  bool Stopping = false;
+  std::atomic<dispatch_id> NextId{1};
+  std::atomic<size_t> InFlight{0};
+
+  std::mutex RouterMutex;
+  router Router;
+
+  // Of the loop's thread alone.
+  retry_budget Budget;
+  std::map<dispatch_id, std::unique_ptr<request>> Requests;
+  std::multimap<time_point, dispatch_id> Timers;
+  std::map<std::string, peer_view, std::less<>> Peers;
+};
+
+} // namespace cardamom
+
+#endif // CARDAMOM_ENTRY_DISPATCHER_H
--- /dev/null
+++ b/entry/dispatcher_events.cpp
@@ -0,0 +1,311 @@
+#include "base/log.h"
+#include "base/metrics.h"
+#include "entry/dispatcher.h"
+#include "entry/dispatcher_request.h"
+
+#include <algorithm>
+#include <string>
+#include <utility>
+
+namespace cardamom {
+
+// First wait before a broken "/attach" is repeated on the same connection.
+static constexpr milliseconds AttachRetryDelay{100};
+static constexpr unsigned MaxAttachDoublings = 4;
+
+run_outcome dispatcher::outcomeOf(const request &R, outcome_kind Kind) const {
+  run_outcome Outcome{
+      .Kind = Kind, .SentIncarnation = R.Incarnation, .SentEpoch = R.SentEpoch};
+  const auto Peer = Peers.find(R.Address);
+  if (Peer != Peers.end()) {
+    Outcome.AnswerIncarnation = Peer->second.Incarnation;
+    Outcome.AnswerEpoch = Peer->second.Epoch;
+  }
+  return Outcome;
+}
+
+void dispatcher::onMessage(request &R, std::string_view Message,
+                           time_point Now) {
+  // Each frame has a length prefix of four bytes.
+  static constexpr size_t PrefixBytes = 4;
+  wire::run_event Event;
+  if (!Event.ParseFromArray(Message.data(), int(Message.size()))) {
+    Options.CancelStream(R.Stream);
+    attemptEnded(R, outcomeOf(R, outcome_kind::BadAnswer), Now);
+    return;
+  }
+  size_t Kept = 0;
+  if (Event.has_data() && R.Call.ManualConsume)
+    Kept = std::min<size_t>(Event.data().bytes().size(), Message.size());
+  R.Unconsumed += Kept;
+  Options.Consume(R.Stream, Message.size() + PrefixBytes - Kept);
+  if (Event.has_head() && !R.HeadRelayed) {
+    R.HeadRelayed = true;
+    if (R.Sink.OnHead)
+      R.Sink.OnHead(Event.head());
+  } else if (Event.has_data()) {
+    onData(R, Event.data(), Now);
+  } else if (Event.has_span() && R.Sink.OnSpan) {
+    R.Sink.OnSpan({Event.span().version(), Event.span().tokens()});
+  } else if (Event.has_end()) {
+    onEnd(R, Event.end(), Now);
+  }
+}
+
+void dispatcher::onData(request &R, const wire::answer_data &Data,
+                        time_point Now) {
+  const std::string_view Bytes = Data.bytes();
+  if (Data.offset() > R.Offset) {
+    Options.CancelStream(R.Stream);
+    attemptEnded(R, outcomeOf(R, outcome_kind::BadAnswer), Now);
+    return;
+  }
+  // After an attach the first frame may overlap what was relayed before.
+  const uint64_t Known =
+      std::min<uint64_t>(R.Offset - Data.offset(), Bytes.size());
+  if (Known > 0 && R.Call.ManualConsume) {
+    const size_t Released = std::min<size_t>(Known, R.Unconsumed);
+    R.Unconsumed -= Released;
+    Options.Consume(R.Stream, Released);
+  }
+  const std::string_view Fresh = Bytes.substr(Known);
+  if (Fresh.empty())
+    return;
+  R.Offset += Fresh.size();
+  if (R.Sink.OnData)
+    R.Sink.OnData(Fresh);
+}
+
+static outcome_kind kindOf(const wire::run_end &End, bool Attaching) {
+  switch (End.code()) {
+  case wire::COMPLETED:
+    return outcome_kind::Completed;
+  case wire::REFUSED:
+    if (!Attaching)
+      return outcome_kind::RefusedByAgent;
+    return End.reason() == "wrong_incarnation"
+               ? outcome_kind::OtherIncarnation
+               : outcome_kind::RefusedAfterAttach;
+  case wire::UPSTREAM_FAILED:
+    return outcome_kind::UpstreamFailed;
+  case wire::PREEMPTED:
+    return outcome_kind::Preempted;
+  case wire::CANCELLED:
+    return outcome_kind::Cancelled;
+  case wire::RUN_UNKNOWN:
+    return Attaching ? outcome_kind::NeverSeen : outcome_kind::BadAnswer;
+  case wire::ANSWER_GONE:
+    return outcome_kind::AnswerGone;
+  case wire::KEY_CLAIMED:
+    return outcome_kind::KeyClaimed;
+  default:
+    return outcome_kind::BadAnswer;
+  }
+}
+
+void dispatcher::onEnd(request &R, const wire::run_end &End, time_point Now) {
+  outcome_kind Kind = kindOf(End, R.Attaching);
+  if (Kind == outcome_kind::KeyClaimed && !R.HolderAttached) {
+    attachToHolder(R, End, Now);
+    return;
+  }
+  R.Spans.clear();
+  for (const wire::version_span &Span : End.spans())
+    R.Spans.push_back({Span.version(), Span.tokens()});
+  R.WholeOutput = End.answer_bytes() == R.Offset;
+  if (Kind == outcome_kind::Completed && !R.WholeOutput)
+    Kind = outcome_kind::BadAnswer;
+  if (R.HolderAttached && Kind != outcome_kind::Completed)
+    Kind = outcome_kind::KeyClaimed;
+  run_outcome Outcome = outcomeOf(R, Kind);
+  Outcome.Reason = End.reason();
+  Outcome.Message = End.message();
+  Outcome.RetryAfter = milliseconds(End.retry_after_ms());
+  if (Kind == outcome_kind::KeyClaimed)
+    Outcome.Reason = "key_claimed";
+  attemptEnded(R, std::move(Outcome), Now);
+}
+
+void dispatcher::attachToHolder(request &R, const wire::run_end &End,
+                                time_point Now) {
+  trace(R, "key_claimed", End.holder_agent(), Now);
+  const auto Address = Options.AddressOf(End.holder_agent());
+  const auto Peer = Address ? Peers.find(*Address) : Peers.end();
+  if (Peer == Peers.end() || End.holder_request_id().empty() ||
+      Peer->second.Incarnation != End.holder_incarnation()) {
+    run_outcome Outcome = outcomeOf(R, outcome_kind::KeyClaimed);
+    Outcome.Message = "another request with this idempotency key has been "
+                      "accepted, and its answer is not available";
+    attemptEnded(R, std::move(Outcome), Now);
+    return;
+  }
+  R.HolderAttached = true;
+  R.Address = *Address;
+  R.Incarnation = End.holder_incarnation();
+  R.SentEpoch = ~uint64_t(0);
+  R.RunId = End.holder_request_id();
+  attach(R, Now);
+}
+
+void dispatcher::onClosed(request &R, stream_end How, std::string_view Reason,
+                          time_point Now) {
+  R.Stream = 0;
+  if (!R.Attaching && How == stream_end::NeverSent) {
+    attemptEnded(R, outcomeOf(R, outcome_kind::NeverSent), Now);
+    return;
+  }
+  trace(R, "stream_broken", Reason, Now);
+  metrics::get().counter("streams_broken_total").add();
+  if (!R.Attaching)
+    R.SentEpoch = std::max(R.SentEpoch, Peers[R.Address].Epoch);
+  R.Phase = request_phase::Reconnecting;
+  // While the connection is up, the peer ended the stream alone: try again
+  // soon. Otherwise onPeerChange() goes on.
+  const unsigned Doublings = std::min(R.AttachTries, MaxAttachDoublings);
+  wakeAt(R, Now + AttachRetryDelay * (1 << Doublings));
+}
+
+void dispatcher::onPeerChange(const std::string &Address, time_point Now) {
+  for (auto &[Id, R] : Requests)
+    if (R->Phase == request_phase::Reconnecting && R->Address == Address)
+      attach(*R, Now);
+}
+
+void dispatcher::attach(request &R, time_point Now) {
+  const peer_view &Peer = Peers[R.Address];
+  R.Attaching = true;
+  if (Peer.Connected && Peer.Incarnation != R.Incarnation) {
+    attemptEnded(R, outcomeOf(R, outcome_kind::OtherIncarnation), Now);
+    return;
+  }
+  if (!Peer.Connected) {
+    R.Phase = request_phase::Reconnecting;
+    wakeAt(R, R.Call.Deadline);
+    return;
+  }
+  ++R.AttachTries;
+  trace(R, "attach", std::to_string(R.Offset), Now);
+  metrics::get().counter("attaches_total").add();
+  wire::attach_request Attach;
+  Attach.set_request_id(R.RunId);
+  Attach.set_offset(R.Offset);
+  Attach.set_agent_incarnation(R.Incarnation);
+  wakeAt(R, R.Call.Deadline);
+  openStream(R, "/attach", Attach.SerializeAsString());
+  // A cancel that the broken connection may have swallowed.
+  if (R.CancelSent)
+    sendCancel(R);
+}
+
+void dispatcher::onTimer(request &R, time_point Now) {
+  if (R.Phase == request_phase::Ended)
+    return;
+  if (R.Phase == request_phase::Waiting) {
+    if (Now >= R.Call.Deadline)
+      finish(R, outcome_kind::NeverSent, R.Verdict);
+    else
+      tryNext(R, Now);
+    return;
+  }
+  if (Now < R.Call.Deadline) {
+    if (R.Phase == request_phase::Reconnecting)
+      attach(R, Now);
+    else
+      wakeAt(R, R.Call.Deadline);
+    return;
+  }
+  const bool Lost = R.Phase == request_phase::Reconnecting;
+  if (!Lost && R.Call.Request->idempotent())
+    sendCancel(R);
+  attemptEnded(R,
+               outcomeOf(R, Lost ? outcome_kind::NoReconnection
+                                 : outcome_kind::DeadlinePassed),
+               Now);
+}
+
+void dispatcher::settleRouter(request &R, outcome_kind Kind, time_point Now) {
+  if (!std::exchange(R.Routed, false))
+    return;
+  std::lock_guard Lock(RouterMutex);
+  if (Kind != outcome_kind::Completed) {
+    Router.onAbandon(R.Upstream, R.routeRequest(), Now);
+    return;
+  }
+  const auto Elapsed = std::chrono::duration_cast<milliseconds>(Now - R.SentAt);
+  Router.onFinish(R.Upstream, R.routeRequest(), Elapsed, Now);
+}
+
+void dispatcher::attemptEnded(request &R, run_outcome Outcome, time_point Now) {
+  if (R.Stream != 0 && Outcome.Kind == outcome_kind::DeadlinePassed)
+    Options.CancelStream(R.Stream);
+  // Events that the present stream still has queued no longer count.
+  ++R.StreamSerial;
+  R.Stream = 0;
+  settleRouter(R, Outcome.Kind, Now);
+  const verdict Latest = classify(Outcome);
+  trace(R, Latest.Reason, toString(Latest.Certainty), Now);
+  // The initial verdict stands for "no attempt yet".
+  R.Verdict = R.Attempt <= 1 ? Latest : combine(R.Verdict, Latest);
+  if (R.CancelSent || !planRetry(R, Latest, Now))
+    finish(R, Outcome.Kind, R.Verdict);
+}
+
+// Another agent gives the same answer to these refusals.
+static bool refusedByAll(std::string_view Reason) {
+  return Reason == "store_unavailable" || Reason == "ledger_full";
+}
+
+bool dispatcher::planRetry(request &R, const verdict &Latest, time_point Now) {
+  if (Latest.Certainty == run_certainty::Ran ||
+      R.Attempt >= R.Call.MaxAttempts || refusedByAll(Latest.Reason))
+    return false;
+  if (Latest.Certainty != run_certainty::NotRun && !R.Call.RetryAfterRun)
+    return false;
+  bool Relayed = R.HeadRelayed || R.Offset > 0;
+  const retry_question Question{.Certainty = Latest.Certainty,
+                                .Idempotent = R.Call.Request->idempotent(),
+                                .BytesRelayed = false};
+  if (!mayRetry(Question))
+    return false;
+  const milliseconds Delay = Budget.backoff(R.Attempt);
+  if (Now + Delay >= R.Call.Deadline)
+    return false;
+  if (Relayed && R.Sink.OnRestart)
+    Relayed = !R.Sink.OnRestart();
+  if (Relayed)
+    return false;
+  if (!Budget.tryRetry(Now)) {
+    metrics::get().counter("retry_budget_exhausted_total").add();
+    return false;
+  }
+  metrics::get().counter("retries_total", "reason", Latest.Reason).add();
+  R.Exclude.push_back(R.Upstream);
+  R.Phase = request_phase::Waiting;
+  R.NoUpstreamUntil = Now + Delay + Options.NoUpstreamWait;
+  wakeAt(R, Now + Delay);
+  return true;
+}
+
+void dispatcher::finish(request &R, outcome_kind Kind, verdict Verdict) {
+  if (R.Phase == request_phase::Streaming && R.Stream != 0) {
+    ++R.StreamSerial;
+    Options.CancelStream(R.Stream);
+  }
+  settleRouter(R, Kind, R.SentAt);
+  R.Phase = request_phase::Ended;
+  dispatch_result Result{.Kind = Kind,
+                         .Verdict = std::move(Verdict),
+                         .Upstream = R.Upstream,
+                         .Address = R.Address,
+                         .RequestId = R.RunId,
+                         .Spans = std::move(R.Spans),
+                         .WholeOutput = R.WholeOutput};
+  metrics::get()
+      .counter("requests_ended_total", "verdict",
+               toString(Result.Verdict.Certainty))
+      .add();
+  R.Sink.OnEnd(Result);
+  InFlight.fetch_sub(1);
+}
+
+} // namespace cardamom
--- /dev/null
+++ b/entry/dispatcher_request.h
@@ -0,0 +1,78 @@
+/// \file
+/// State of one request inside the dispatcher.
+
+#ifndef CARDAMOM_ENTRY_DISPATCHER_REQUEST_H
+#define CARDAMOM_ENTRY_DISPATCHER_REQUEST_H
+
+#include "entry/dispatcher.h"
+#include "inner/gen/messages.pb.h"
+
+namespace cardamom {
+
+enum class request_phase {
+  /// Waits for an upstream or for the end of a back-off.
+  Waiting,
+  /// A stream of "/run" or "/attach" is open.
+  Streaming,
+  /// The stream broke; waits for the peer.
+  Reconnecting,
+  /// OnEnd has been called.
+  Ended,
+};
+
+struct dispatcher::request {
+  dispatch_id Id = 0;
+  dispatch_call Call;
+  dispatch_sink Sink;
+  request_phase Phase = request_phase::Waiting;
+
+  // The present attempt.
+  std::string Upstream;
+  std::string Address;
+  uint64_t Incarnation = 0;
+  /// Highest epoch of the connection that may have carried "/run".
+  uint64_t SentEpoch = 0;
+  /// Differs from the request's own id after KEY_CLAIMED.
+  std::string RunId;
+  bool HolderAttached = false;
+  bool Attaching = false;
+  unsigned AttachTries = 0;
+  bool CancelSent = false;
+  inner_client::stream_id Stream = 0;
+  /// Tells events of the present stream from those of earlier ones.
+  uint64_t StreamSerial = 0;
+  /// Bytes of the present stream that ManualConsume has not released.
+  size_t Unconsumed = 0;
+  bool HeadRelayed = false;
+  uint64_t Offset = 0;
+  std::vector<token_span> Spans;
+  bool WholeOutput = false;
+  time_point SentAt{};
+  /// Whether the router counts the attempt as outstanding.
+  bool Routed = false;
+
+  // The whole request.
+  unsigned Attempt = 0;
+  /// Combined over all attempts.
+  verdict Verdict{.Certainty = run_certainty::NotRun,
+                  .Reason = "no_upstream",
+                  .Message = "no upstream of the pool can take the request",
+                  .RetryAfter = milliseconds(500)};
+  std::vector<std::string> Exclude;
+  time_point NoUpstreamUntil{};
+  time_point WakeAt{};
+
+  [[nodiscard]] route_request routeRequest() const {
+    route_request Request;
+    Request.Work = Call.Work;
+    Request.PrefixHash = Call.PrefixHash;
+    Request.MinVersion =
+        Call.Request->has_model() ? Call.Request->model().min_version() : 0;
+    Request.Exclude = Exclude;
+    return Request;
+  }
+};
+
+} // namespace cardamom
+
+#endif // CARDAMOM_ENTRY_DISPATCHER_REQUEST_H
