--- a/agent/run_table.cpp
+++ b/agent/run_table.cpp
@@ -232,7 +232,8 @@
   if (Record.State != wire::FINISHED || Record.End->code() == wire::REFUSED)
     return;
   TotalBytes -= Record.Body.size();
-  Record.Body = std::string();
+  // Assignment of an empty string would keep the capacity.
+  std::string().swap(Record.Body);
   advance(Record, wire::FINISHED_ANSWER_GONE);
   --Held;
 }
--- /dev/null
+++ b/agent/run_table_memory_test.cpp
@@ -0,0 +1,39 @@
+#include "agent/run_table.h"
+
+#include <cppunit/extensions/HelperMacros.h>
+#include <malloc.h>
+
+namespace cardamom {
+
+class run_table_memory_test : public CppUnit::TestFixture {
+  CPPUNIT_TEST_SUITE(run_table_memory_test);
+  CPPUNIT_TEST(acknowledgedAnswersAreFreed);
+  CPPUNIT_TEST_SUITE_END();
+
+public:
+  // Guards against answers whose bytes stay allocated after they have been
+  // dropped, which would break the bound on the memory of an agent. Under the
+  // address sanitizer mallinfo2() reports nothing and the test cannot fail.
+  void acknowledgedAnswersAreFreed() {
+    constexpr size_t Runs = 200;
+    const std::string Answer(64 * 1024, 'x');
+    run_table Table({});
+    const size_t Before = mallinfo2().uordblks;
+    for (size_t I = 0; I < Runs; ++I) {
+      const std::string Id = "r" + std::to_string(I);
+      Table.insert({.RequestId = Id, .Idempotent = true}, {});
+      Table.start(Id);
+      Table.append(Id, Answer);
+      Table.finish(Id, {}, {});
+      Table.acknowledge(Id, {});
+    }
+    const size_t Grown = mallinfo2().uordblks - Before;
+    CPPUNIT_ASSERT_MESSAGE(std::to_string(Grown) + " bytes are still held",
+                           Grown < Runs * 4096);
+  }
+};
+
+CPPUNIT_TEST_SUITE_NAMED_REGISTRATION(run_table_memory_test,
+                                      "run_table_memory_test");
+
+} // namespace cardamom
