--- a/standins/token_bucket.h
+++ b/standins/token_bucket.h
@@ -10,16 +10,17 @@
 
 namespace standins {
 
-/// Holds at most one second's worth of tokens and starts full.
+/// Starts full.
 class token_bucket {
 public:
-  /// PerSecond of 0 or less means no limit.
-  explicit token_bucket(double PerSecond)
-      : PerSecond(PerSecond), Tokens(PerSecond) {}
+  /// PerSecond of 0 or less means no limit. The bucket holds what flows in
+  /// during Burst seconds.
+  explicit token_bucket(double PerSecond, double Burst = 1)
+      : PerSecond(PerSecond), Burst(Burst), Tokens(PerSecond * Burst) {}
 
   void setRate(double NewPerSecond) {
     PerSecond = NewPerSecond;
-    Tokens = std::min(Tokens, PerSecond);
+    Tokens = std::min(Tokens, PerSecond * Burst);
   }
 
   /// Takes Amount tokens if they are there.
@@ -49,11 +50,12 @@
       return;
     // The first call finds a full bucket whatever the clock's origin is.
     std::chrono::duration<double> Elapsed = Now - Last;
-    Tokens = std::min(PerSecond, Tokens + Elapsed.count() * PerSecond);
+    Tokens = std::min(PerSecond * Burst, Tokens + Elapsed.count() * PerSecond);
     Last = Now;
   }
 
   double PerSecond;
+  double Burst;
   double Tokens;
   time_point Last{};
 };
