Add the client of the platform's store

Cause: each write to the store must be known to be refused, done, or unknown. Change: store_client over a pool of kept-alive connections with TCP_NODELAY; watches use connections of their own and can be stopped. A connect failure, 429 and 503 are Unavailable with a retry hint; a write without an answer, or with an undefined 5xx, is Unknown. Adds list(), which the design names, and stopWatches() for shutdown. store_client takes its options by reference. Conclusion: callers can decide when to read back.

--- /dev/null
+++ b/store/store_client.cpp
@@ -0,0 +1,291 @@
+#include "store/store_client.h"
+
+#include "base/identifier.h"
+#include "base/metrics.h"
+#include "store/http_pool.h"
+
+#include <algorithm>
+#include <nlohmann/json.hpp>
+#include <stdexcept>
+
+namespace cardamom {
+
+using nlohmann::json;
+
+namespace {
+
+constexpr size_t MaxIdleClients = 4;
+constexpr size_t MaxIdleWatchClients = 2;
+constexpr size_t MaxValueBytes = 1000000;
+constexpr milliseconds DefaultRetryAfter{1000};
+constexpr uint64_t MaxRetryAfterSeconds = 300;
+constexpr const char *ValueType = "application/octet-stream";
+
+enum class call_kind { Read, Write };
+
+bool isUnreserved(char C) {
+  constexpr std::string_view Marks = "-._~/";
+  return (C >= 'a' && C <= 'z') || (C >= 'A' && C <= 'Z') ||
+         (C >= '0' && C <= '9') || Marks.find(C) != std::string_view::npos;
+}
+
+/// Percent-encodes all but unreserved characters and '/'.
+std::string encode(std::string_view Text) {
+  constexpr std::string_view Digits = "0123456789ABCDEF";
+  std::string Encoded;
+  for (const char C : Text) {
+    if (isUnreserved(C)) {
+      Encoded += C;
+      continue;
+    }
+    const auto Byte = static_cast<unsigned char>(C);
+    Encoded += '%';
+    Encoded += Digits[Byte >> 4];
+    Encoded += Digits[Byte & 15];
+  }
+  return Encoded;
+}
+
+std::string objectPath(std::string_view Key) {
+  return "/v1/objects/" + encode(Key);
+}
+
+std::string conditionalPath(std::string_view Key, uint64_t IfVersion) {
+  return objectPath(Key) + "?if_version=" + std::to_string(IfVersion);
+}
+
+milliseconds retryAfter(const httplib::Response &Response) {
+  const auto Seconds =
+      parseWholeNumber(Response.get_header_value("Retry-After"));
+  if (!Seconds)
+    return DefaultRetryAfter;
+  return milliseconds(std::min(*Seconds, MaxRetryAfterSeconds) * 1000);
+}
+
+/// No response was read. A write that did not get as far as a connection has
+/// had no effect; after that nobody can tell.
+store_result noAnswer(httplib::Error Error, call_kind Kind) {
+  const bool NotSent = Error == httplib::Error::Connection ||
+                       Error == httplib::Error::ConnectionTimeout;
+  store_result Result;
+  Result.Status = NotSent || Kind == call_kind::Read ? store_status::Unavailable
+                                                     : store_status::Unknown;
+  Result.Message = "no answer: " + httplib::to_string(Error);
+  Result.RetryAfter = DefaultRetryAfter;
+  return Result;
+}
+
+store_result malformed(call_kind Kind) {
+  return {.Status = Kind == call_kind::Read ? store_status::Unavailable
+                                            : store_status::Unknown,
+          .Message = "malformed answer",
+          .RetryAfter = DefaultRetryAfter};
+}
+
+/// A status that the call does not define. Only 4xx, 503 and "not
+/// implemented" say that nothing was done.
+store_result unexpectedStatus(const httplib::Response &Response,
+                              call_kind Kind) {
+  const bool Refused = Response.status == 503 || Response.status == 501 ||
+                       (Response.status >= 400 && Response.status < 500);
+  store_result Result;
+  Result.Status = Refused || Kind == call_kind::Read ? store_status::Unavailable
+                                                     : store_status::Unknown;
+  Result.Message = "HTTP status " + std::to_string(Response.status);
+  Result.RetryAfter = retryAfter(Response);
+  return Result;
+}
+
+bool hasVersion(const json &Object) {
+  return Object.is_object() && Object.contains("version") &&
+         Object["version"].is_number_unsigned();
+}
+
+bool isObject(const json &Object) {
+  return hasVersion(Object) && Object.contains("value") &&
+         Object["value"].is_string();
+}
+
+json parseBody(const httplib::Response &Response) {
+  return json::parse(Response.body, nullptr, false);
+}
+
+store_result readObject(const httplib::Response &Response) {
+  json Object = parseBody(Response);
+  if (!isObject(Object))
+    return malformed(call_kind::Read);
+  return {.Status = store_status::Ok,
+          .Version = Object["version"].get<uint64_t>(),
+          .Value = std::move(Object["value"].get_ref<std::string &>())};
+}
+
+store_result readAnswer(const httplib::Result &Answer) {
+  if (!Answer)
+    return noAnswer(Answer.error(), call_kind::Read);
+  if (Answer->status == 200)
+    return readObject(*Answer);
+  if (Answer->status == 404)
+    return {.Status = store_status::NotFound};
+  return unexpectedStatus(*Answer, call_kind::Read);
+}
+
+/// Writes answer {"version"} to 200 (not needed for a delete) and 409.
+store_result writeAnswer(const httplib::Result &Answer, bool NeedsVersion) {
+  if (!Answer)
+    return noAnswer(Answer.error(), call_kind::Write);
+  const int Status = Answer->status;
+  if (Status != 200 && Status != 409)
+    return unexpectedStatus(*Answer, call_kind::Write);
+  const json Body = parseBody(*Answer);
+  if (!hasVersion(Body) && (NeedsVersion || Status == 409))
+    return malformed(call_kind::Write);
+  return {.Status = Status == 200 ? store_status::Ok : store_status::Conflict,
+          .Version = hasVersion(Body) ? Body["version"].get<uint64_t>() : 0};
+}
+
+ip_port checkedAddress(const std::string &Address) {
+  auto Parsed = parseIpPort(Address);
+  if (!Parsed)
+    throw std::invalid_argument("store address \"" + Address +
+                                "\": allowed is " + std::string(IpPortFormat));
+  return *std::move(Parsed);
+}
+
+template <typename T> T counted(T Result) {
+  metrics::get()
+      .counter("store_results_total", "status", toString(Result.Status))
+      .add();
+  return Result;
+}
+
+} // namespace
+
+std::string_view toString(store_status Status) {
+  switch (Status) {
+  case store_status::Ok:
+    return "ok";
+  case store_status::NotFound:
+    return "not_found";
+  case store_status::Conflict:
+    return "conflict";
+  case store_status::Unchanged:
+    return "unchanged";
+  case store_status::Unavailable:
+    return "unavailable";
+  case store_status::Unknown:
+    break;
+  }
+  return "unknown";
+}
+
+struct store_client::state {
+  explicit state(const store_client_options &Options)
+      : Timeout(Options.Timeout),
+        Calls(checkedAddress(Options.Address), Options.Timeout, MaxIdleClients),
+        Watches(checkedAddress(Options.Address), Options.Timeout,
+                MaxIdleWatchClients) {}
+
+  httplib::Result get(const std::string &Path) {
+    return Calls.run(Timeout,
+                     [&](httplib::Client &Client) { return Client.Get(Path); });
+  }
+
+  const milliseconds Timeout;
+  http_pool Calls;
+  http_pool Watches;
+};
+
+store_client::store_client(const store_client_options &Options)
+    : State(std::make_unique<state>(Options)) {}
+
+store_client::~store_client() = default;
+
+store_result store_client::get(std::string_view Key) {
+  return counted(readAnswer(State->get(objectPath(Key))));
+}
+
+store_result store_client::put(std::string_view Key, std::string_view Value,
+                               uint64_t IfVersion) {
+  if (Value.size() > MaxValueBytes)
+    return counted(
+        store_result{.Status = store_status::Unavailable,
+                     .Message = "value of " + std::to_string(Value.size()) +
+                                " bytes: allowed are at most 1000000"});
+  const std::string Path = conditionalPath(Key, IfVersion);
+  const auto Answer =
+      State->Calls.run(State->Timeout, [&](httplib::Client &Client) {
+        return Client.Put(Path, Value.data(), Value.size(), ValueType);
+      });
+  return counted(writeAnswer(Answer, true));
+}
+
+store_result store_client::remove(std::string_view Key, uint64_t IfVersion) {
+  const std::string Path = conditionalPath(Key, IfVersion);
+  const auto Answer =
+      State->Calls.run(State->Timeout, [&](httplib::Client &Client) {
+        return Client.Delete(Path);
+      });
+  if (Answer && Answer->status == 404)
+    return counted(store_result{.Status = store_status::NotFound});
+  return counted(writeAnswer(Answer, false));
+}
+
+store_list_result store_client::list(std::string_view Prefix) {
+  const auto Answer = State->get("/v1/objects?prefix=" + encode(Prefix));
+  store_list_result Result;
+  const auto Fail = [&](const store_result &Reason) {
+    Result = {.Status = Reason.Status,
+              .Message = Reason.Message,
+              .RetryAfter = Reason.RetryAfter};
+    return counted(std::move(Result));
+  };
+  if (!Answer)
+    return Fail(noAnswer(Answer.error(), call_kind::Read));
+  if (Answer->status != 200)
+    return Fail(unexpectedStatus(*Answer, call_kind::Read));
+  const json Body = parseBody(*Answer);
+  if (!Body.is_object() || !Body.contains("objects") ||
+      !Body["objects"].is_array())
+    return Fail(malformed(call_kind::Read));
+  for (const json &Object : Body["objects"]) {
+    if (!isObject(Object) || !Object.contains("key") ||
+        !Object["key"].is_string())
+      return Fail(malformed(call_kind::Read));
+    Result.Objects.push_back({Object["key"].get<std::string>(),
+                              Object["version"].get<uint64_t>(),
+                              Object["value"].get<std::string>()});
+  }
+  Result.Status = store_status::Ok;
+  return counted(std::move(Result));
+}
+
+store_result store_client::watch(std::string_view Key, uint64_t After,
+                                 milliseconds Wait) {
+  const std::string Path = "/v1/watch/" + encode(Key) +
+                           "?after=" + std::to_string(After) +
+                           "&wait_ms=" + std::to_string(Wait.count());
+  const auto Answer =
+      State->Watches.run(Wait + State->Timeout, [&](httplib::Client &Client) {
+        return Client.Get(Path);
+      });
+  if (Answer && Answer->status == 304)
+    return counted(
+        store_result{.Status = store_status::Unchanged, .Version = After});
+  return counted(readAnswer(Answer));
+}
+
+void store_client::stopWatches() { State->Watches.stop(); }
+
+store_result store_client::vms() {
+  const auto Answer = State->get("/v1/vms");
+  if (!Answer || Answer->status != 200)
+    return counted(readAnswer(Answer));
+  const json Body = parseBody(*Answer);
+  if (!hasVersion(Body))
+    return counted(malformed(call_kind::Read));
+  return counted(store_result{.Status = store_status::Ok,
+                              .Version = Body["version"].get<uint64_t>(),
+                              .Value = Answer->body});
+}
+
+} // namespace cardamom
--- /dev/null
+++ b/store/test_store.h
@@ -0,0 +1,207 @@
+/// \file
+/// In-process object store for tests, on an ephemeral port of 127.0.0.1.
+
+#ifndef CARDAMOM_STORE_TEST_STORE_H
+#define CARDAMOM_STORE_TEST_STORE_H
+
+#include <atomic>
+#include <chrono>
+#include <condition_variable>
+#include <cstdint>
+#include <functional>
+#include <httplib.h>
+#include <map>
+#include <mutex>
+#include <nlohmann/json.hpp>
+#include <string>
+#include <thread>
+
+namespace cardamom {
+
+/// What happens to a write.
+enum class write_fault {
+  None,
+  /// It takes effect, and the answer is lost.
+  LoseAnswer,
+  /// It is lost before it takes effect.
+  LoseRequest,
+};
+
+class test_store {
+public:
+  test_store() {
+    Server.new_task_queue = [] { return new httplib::ThreadPool(16); };
+    Server.set_keep_alive_max_count(100000);
+    Server.set_keep_alive_timeout(1);
+    Server.set_tcp_nodelay(true);
+    addRoutes();
+    Port = Server.bind_to_any_port("127.0.0.1");
+    Thread = std::thread([this] { Server.listen_after_bind(); });
+    while (!Server.is_running())
+      std::this_thread::sleep_for(std::chrono::milliseconds(1));
+  }
+
+  ~test_store() {
+    {
+      std::lock_guard Lock(Mutex);
+      Closing = true;
+    }
+    Changed.notify_all();
+    Server.stop();
+    Thread.join();
+  }
+
+  test_store(const test_store &) = delete;
+  test_store &operator=(const test_store &) = delete;
+
+  [[nodiscard]] std::string address() const {
+    return "127.0.0.1:" + std::to_string(Port);
+  }
+
+  /// HTTP status with which every call is refused; 0 for none.
+  std::atomic<int> RefuseWith{0};
+  std::atomic<unsigned> Writes{0};
+  /// Chooses the fault of the Nth write (from 0). Set before the first call.
+  std::function<write_fault(unsigned)> Fault;
+  /// Runs before the Nth write, without a lock. Set before the first call.
+  std::function<void(unsigned)> BeforeWrite;
+
+  /// Changes an object as another client would.
+  uint64_t overwrite(const std::string &Key, const std::string &Value) {
+    std::lock_guard Lock(Mutex);
+    return store(Key, Value);
+  }
+
+  std::string value(const std::string &Key) {
+    std::lock_guard Lock(Mutex);
+    return Objects[Key].Value;
+  }
+
+private:
+  struct object {
+    uint64_t Version = 0;
+    std::string Value;
+  };
+
+  uint64_t store(const std::string &Key, const std::string &Value) {
+    Objects[Key] = {++LastVersion, Value};
+    Changed.notify_all();
+    return LastVersion;
+  }
+
+  static void answer(httplib::Response &Response, int Status,
+                     const nlohmann::json &Body) {
+    Response.status = Status;
+    Response.set_content(Body.dump(), "application/json");
+  }
+
+  /// Breaks the connection in the middle of the answer.
+  static void breakOff(httplib::Response &Response) {
+    Response.set_content_provider(
+        100, "application/json",
+        [](size_t, size_t, httplib::DataSink &) { return false; });
+  }
+
+  void addRoutes() {
+    Server.set_pre_routing_handler([this](const auto &, auto &Response) {
+      if (RefuseWith == 0)
+        return httplib::Server::HandlerResponse::Unhandled;
+      Response.status = RefuseWith;
+      Response.set_header("Retry-After", "2");
+      return httplib::Server::HandlerResponse::Handled;
+    });
+    Server.Get("/v1/objects", [this](const auto &Request, auto &Response) {
+      list(Request.get_param_value("prefix"), Response);
+    });
+    Server.Get("/v1/objects/(.+)", [this](const auto &Request, auto &Response) {
+      get(Request.matches[1], Response);
+    });
+    Server.Get("/v1/watch/(.+)", [this](const auto &Request, auto &Response) {
+      watch(Request, Response);
+    });
+    Server.Put("/v1/objects/(.+)", [this](const auto &Request, auto &Response) {
+      write(Request, Response);
+    });
+    Server.Delete("/v1/objects/(.+)",
+                  [this](const auto &Request, auto &Response) {
+                    write(Request, Response);
+                  });
+    Server.Get("/v1/vms", [](const auto &, auto &Response) {
+      answer(Response, 200, {{"version", 4}, {"vms", nlohmann::json::array()}});
+    });
+  }
+
+  void get(const std::string &Key, httplib::Response &Response) {
+    std::lock_guard Lock(Mutex);
+    const auto It = Objects.find(Key);
+    if (It == Objects.end())
+      return answer(Response, 404, {});
+    answer(Response, 200,
+           {{"key", Key},
+            {"version", It->second.Version},
+            {"value", It->second.Value}});
+  }
+
+  void list(const std::string &Prefix, httplib::Response &Response) {
+    std::lock_guard Lock(Mutex);
+    auto Listed = nlohmann::json::array();
+    for (const auto &[Key, Object] : Objects) {
+      if (Key.starts_with(Prefix))
+        Listed.push_back({{"key", Key},
+                          {"version", Object.Version},
+                          {"value", Object.Value}});
+    }
+    answer(Response, 200, {{"objects", Listed}});
+  }
+
+  void watch(const httplib::Request &Request, httplib::Response &Response) {
+    const std::string Key = Request.matches[1];
+    const uint64_t After = std::stoull(Request.get_param_value("after"));
+    const std::chrono::milliseconds Wait(
+        std::stoul(Request.get_param_value("wait_ms")));
+    std::unique_lock Lock(Mutex);
+    const bool Newer = Changed.wait_for(
+        Lock, Wait, [&] { return Closing || Objects[Key].Version > After; });
+    Lock.unlock();
+    if (Newer && !Closing)
+      return get(Key, Response);
+    Response.status = 304;
+  }
+
+  void write(const httplib::Request &Request, httplib::Response &Response) {
+    const unsigned Index = Writes++;
+    if (BeforeWrite)
+      BeforeWrite(Index);
+    const write_fault Kind = Fault ? Fault(Index) : write_fault::None;
+    if (Kind == write_fault::LoseRequest)
+      return breakOff(Response);
+    const std::string Key = Request.matches[1];
+    const uint64_t IfVersion =
+        std::stoull(Request.get_param_value("if_version"));
+    std::lock_guard Lock(Mutex);
+    const auto It = Objects.find(Key);
+    const uint64_t Present = It == Objects.end() ? 0 : It->second.Version;
+    if (Present != IfVersion)
+      return answer(Response, 409, {{"version", Present}});
+    if (Request.method == "DELETE")
+      Objects.erase(Key);
+    else
+      store(Key, Request.body);
+    if (Kind == write_fault::LoseAnswer)
+      return breakOff(Response);
+    answer(Response, 200, {{"version", LastVersion}});
+  }
+
+  httplib::Server Server;
+  int Port = 0;
+  bool Closing = false;
+  std::thread Thread;
+  std::mutex Mutex;
+  std::condition_variable Changed;
+  std::map<std::string, object> Objects;
+  uint64_t LastVersion = 0;
+};
+
+} // namespace cardamom
+
+#endif // CARDAMOM_STORE_TEST_STORE_H
