Add key ledger: claims of idempotency keys in the store

Cause: a deposit or booking must run at most once across entries, agents, restarts and lost answers of the store. Change: agent/key_ledger claims keys by conditional update with one group commit a slot, reads back after an unknown write, and gives a claim back when the request did not run. A claim that was given up is taken over by the same incarnation only.

--- /dev/null
+++ b/agent/key_ledger.h
@@ -0,0 +1,165 @@
+/// \file
+/// At-most-once execution by claims of idempotency keys in the store.
+///
+/// Use:
+///   key_ledger Ledger({.Agent = Name, .Incarnation = I, .Get = ..., .Put =
+///   ..., .WallSeconds = ...});
+///   claim_result R = Ledger.claim({.Route = "/book", .Key = Key,
+///                                  .RequestId = Id});
+///   if (R.Status == claim_status::Granted) run();
+///
+/// claim() blocks its thread for one or a few store calls. Concurrent claims
+/// of one slot share a write (group commit): a thread that finds no write in
+/// flight waits GroupDelay for others when the slot was busy lately, then
+/// writes for all of them.
+///
+/// Correctness depends only on the store's conditional update. An object
+/// "ledger/<slot>" holds JSON
+///   {"holders": [[agent, incarnation in hex], ...],
+///    "keys": {key hash: [index of the holder, request id, Unix seconds]}}
+///
+/// Limits: MaxRecords a slot and MaxValueBytes an object; each write sends the
+/// whole object.
+
+#ifndef CARDAMOM_AGENT_KEY_LEDGER_H
+#define CARDAMOM_AGENT_KEY_LEDGER_H
+
+#include "base/time.h"
+#include "store/store_client.h"
+
+#include <array>
+#include <condition_variable>
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <mutex>
+#include <set>
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace cardamom {
+
+enum class claim_status {
+  /// The key belongs to this request, which may run.
+  Granted,
+  /// The key belongs to the request of Holder.
+  Claimed,
+  /// The claim is not in force; the request must not run.
+  StoreUnavailable,
+  LedgerFull,
+};
+
+struct claim_holder {
+  std::string Agent;
+  uint64_t Incarnation = 0;
+  std::string RequestId;
+  bool operator==(const claim_holder &) const = default;
+};
+
+struct claim_result {
+  claim_status Status = claim_status::StoreUnavailable;
+  claim_holder Holder;
+  milliseconds RetryAfter{0};
+};
+
+struct claim_request {
+  std::string Route;
+  std::string Key;
+  std::string RequestId;
+};
+
+struct key_ledger_options {
+  std::string Agent;
+  uint64_t Incarnation = 0;
+  std::function<store_result(std::string_view Key)> Get;
+  std::function<store_result(std::string_view Key, std::string_view Value,
+                             uint64_t IfVersion)>
+      Put;
+  /// Present time of the wall clock in Unix seconds: records outlive
+  /// processes.
+  std::function<int64_t()> WallSeconds;
+  milliseconds GroupDelay{20};
+  int64_t RetentionSeconds = int64_t(24) * 3600;
+  size_t MaxRecords = 8000;
+  /// Below the store's limit of 1 MB.
+  size_t MaxValueBytes = 900000;
+  /// Rounds of conflict or read-back before the store counts as unavailable.
+  unsigned MaxRounds = 8;
+  milliseconds RetryAfter{1000};
+};
+
+class key_ledger {
+public:
+  static constexpr size_t SlotCount = 16;
+
+  explicit key_ledger(key_ledger_options Options);
+
+  /// Claims the key for the request. Never throws for failures of the store.
+  claim_result claim(const claim_request &Request);
+  /// Gives a granted claim back; the request must not have run and must never
+  /// run. A failed write leaves a record that only this incarnation takes
+  /// over, so that others answer may-have-run.
+  void release(const claim_request &Request);
+
+  /// Slot and 128-bit hash (32 hex digits) of a key.
+  static size_t slotOf(const claim_request &Request);
+  static std::string hashOf(const claim_request &Request);
+
+private:
+  struct entry {
+    claim_holder Holder;
+    int64_t At = 0;
+  };
+  using entries = std::map<std::string, entry, std::less<>>;
+  struct pending {
+    pending(std::string Hash, std::string RequestId, bool Release)
+        : Hash(std::move(Hash)), RequestId(std::move(RequestId)),
+          Release(Release) {}
+    std::string Hash;
+    std::string RequestId;
+    /// A release instead of a claim.
+    bool Release = false;
+    claim_result Result;
+    bool Done = false;
+  };
+  struct slot {
+    std::mutex Mutex;
+    std::condition_variable Changed;
+    std::vector<pending *> Waiting;
+    bool Committing = false;
+    /// Steady time of the last commit, for the group delay.
+    time_point LastCommit;
+    // Below: used only by the thread that set Committing.
+    bool Cached = false;
+    uint64_t Version = 0;
+    entries Entries;
+  };
+
+  void submit(size_t Slot, pending &Work);
+  void commit(size_t Slot, const std::vector<pending *> &Batch);
+  bool load(size_t Slot);
+  /// Returns whether Entries was changed.
+  bool apply(entries &Entries, const std::vector<pending *> &Batch);
+  bool applyClaim(entries &Entries, pending &Work);
+  bool applyRelease(entries &Entries, const pending &Work);
+  [[nodiscard]] bool isAbandoned(const claim_holder &Holder);
+  void fail(const std::vector<pending *> &Batch, claim_status Status,
+            bool MayBeWritten);
+  void abandon(const std::string &RequestId);
+  void restore(const std::string &RequestId);
+  [[nodiscard]] claim_holder self(std::string_view RequestId) const;
+  [[nodiscard]] std::string toJson(const entries &Entries) const;
+  static entries fromJson(std::string_view Json);
+
+  key_ledger_options Options;
+  std::array<slot, SlotCount> Slots;
+  std::mutex AbandonedMutex;
+  /// Requests of this incarnation that never run although a record may name
+  /// them.
+  std::set<std::string> Abandoned;
+};
+
+} // namespace cardamom
+
+#endif // CARDAMOM_AGENT_KEY_LEDGER_H
