Add the HTTP front and the relays of callers' answers

Cause: callers, trainers and operators need one HTTP interface whose refusals say whether the request ran. Measured: compiles; not yet run as a server.

--- a/entry/classify.cpp
+++ b/entry/classify.cpp
@@ -18,6 +18,8 @@
 static run_certainty certainty(const run_outcome &Outcome) {
   switch (Outcome.Kind) {
   case outcome_kind::Completed:
+  case outcome_kind::AnswerGone:
+  case outcome_kind::AnswerTooLarge:
     return run_certainty::Ran;
   case outcome_kind::NeverSent:
   case outcome_kind::RefusedByAgent:
@@ -34,7 +36,6 @@
   case outcome_kind::UpstreamFailed:
   case outcome_kind::Preempted:
   case outcome_kind::Cancelled:
-  case outcome_kind::AnswerGone:
   case outcome_kind::KeyClaimed:
   case outcome_kind::OtherIncarnation:
   case outcome_kind::NoReconnection:
@@ -64,6 +65,8 @@
     return "cancelled";
   case outcome_kind::AnswerGone:
     return "answer_gone";
+  case outcome_kind::AnswerTooLarge:
+    return "answer_too_large";
   case outcome_kind::KeyClaimed:
     return "key_claimed";
   case outcome_kind::OtherIncarnation:
--- a/entry/classify.h
+++ b/entry/classify.h
@@ -27,7 +27,10 @@
   UpstreamFailed,
   Preempted,
   Cancelled,
+  /// The run finished, but its answer is no longer kept.
   AnswerGone,
+  /// The run finished with an answer above the limit of the agent.
+  AnswerTooLarge,
   /// The idempotency key belongs to a run whose answer cannot be had.
   KeyClaimed,
   /// The agent was replaced; its successor knows nothing of the request.
--- a/entry/dispatch.h
+++ b/entry/dispatch.h
@@ -60,12 +60,12 @@
   /// Of the last attempt.
   outcome_kind Kind = outcome_kind::BadAnswer;
   /// Of the whole request.
-  verdict Verdict;
-  std::string Upstream;
-  std::string Address;
-  std::string RequestId;
+  verdict Verdict{};
+  std::string Upstream{};
+  std::string Address{};
+  std::string RequestId{};
   /// All spans of the run; empty when no end of the run arrived.
-  std::vector<token_span> Spans;
+  std::vector<token_span> Spans{};
   /// Whether every byte that the run produced was relayed, so that Spans
   /// describes exactly what OnData received.
   bool WholeOutput = false;
--- a/entry/dispatcher.cpp
+++ b/entry/dispatcher.cpp
@@ -1,10 +1,10 @@
 #include "entry/dispatcher.h"
 
 #include "entry/dispatcher_request.h"
+#include "policy/rendezvous.h"
 
 #include <algorithm>
 #include <utility>
-#include <xxhash.h>
 
 namespace cardamom {
 
@@ -197,6 +197,11 @@
   QueueChanged.notify_one();
 }
 
+void dispatcher::setEntries(size_t Entries) {
+  std::lock_guard Lock(RouterMutex);
+  Router.setEntries(double(std::max<size_t>(1, Entries)));
+}
+
 void dispatcher::trace(const request &R, std::string_view Event,
                        std::string_view Detail, time_point Now) {
   if (Options.Trace)
@@ -228,8 +233,7 @@
     if (!View.Connected || View.Draining ||
         std::find(Exclude.begin(), Exclude.end(), View.Name) != Exclude.end())
       continue;
-    const std::string Text = std::string(Key) + '\0' + View.Name;
-    const uint64_t Score = XXH3_64bits(Text.data(), Text.size());
+    const uint64_t Score = rendezvousScore(Key, View.Name);
     if (Best && Score <= BestScore)
       continue;
     Best = View;
--- a/entry/dispatcher.h
+++ b/entry/dispatcher.h
@@ -55,6 +55,8 @@
   /// upstream_directory::views and addressOf.
   std::function<std::vector<upstream_view>(std::string_view Pool)> Views;
   std::function<std::optional<std::string>(std::string_view Name)> AddressOf;
+  /// inner_client::addPeer; may be empty.
+  std::function<void(std::string_view Address)> EnsurePeer;
   std::function<uint64_t()> ConfigVersion;
   /// Uniform random number in [0, 1).
   std::function<double()> Random;
@@ -97,6 +99,8 @@
   void run();
   void stop();
 
+  /// Entries that send to the same upstreams. Thread-safe.
+  void setEntries(size_t Entries);
   [[nodiscard]] size_t inFlight() const { return InFlight.load(); }
   /// Predicted time of Work on the best upstream of the pool other than
   /// Except; negative when there is none. Thread-safe.
--- a/entry/dispatcher_events.cpp
+++ b/entry/dispatcher_events.cpp
@@ -87,7 +87,8 @@
                ? outcome_kind::OtherIncarnation
                : outcome_kind::RefusedAfterAttach;
   case wire::UPSTREAM_FAILED:
-    return outcome_kind::UpstreamFailed;
+    return End.reason() == "answer_too_large" ? outcome_kind::AnswerTooLarge
+                                              : outcome_kind::UpstreamFailed;
   case wire::PREEMPTED:
     return outcome_kind::Preempted;
   case wire::CANCELLED:
@@ -115,14 +116,12 @@
   R.WholeOutput = End.answer_bytes() == R.Offset;
   if (Kind == outcome_kind::Completed && !R.WholeOutput)
     Kind = outcome_kind::BadAnswer;
-  if (R.HolderAttached && Kind != outcome_kind::Completed)
-    Kind = outcome_kind::KeyClaimed;
+  if (R.HolderAttached && Kind == outcome_kind::KeyClaimed)
+    Kind = outcome_kind::BadAnswer;
   run_outcome Outcome = outcomeOf(R, Kind);
   Outcome.Reason = End.reason();
   Outcome.Message = End.message();
   Outcome.RetryAfter = milliseconds(End.retry_after_ms());
-  if (Kind == outcome_kind::KeyClaimed)
-    Outcome.Reason = "key_claimed";
   attemptEnded(R, std::move(Outcome), Now);
 }
 
@@ -130,16 +129,19 @@
                                 time_point Now) {
   trace(R, "key_claimed", End.holder_agent(), Now);
   const auto Address = Options.AddressOf(End.holder_agent());
-  const auto Peer = Address ? Peers.find(*Address) : Peers.end();
-  if (Peer == Peers.end() || End.holder_request_id().empty() ||
-      Peer->second.Incarnation != End.holder_incarnation()) {
+  if (!Address || End.holder_request_id().empty()) {
     run_outcome Outcome = outcomeOf(R, outcome_kind::KeyClaimed);
     Outcome.Message = "another request with this idempotency key has been "
                       "accepted, and its answer is not available";
     attemptEnded(R, std::move(Outcome), Now);
     return;
   }
+  // This entry may keep no connection to the holder so far.
+  if (Options.EnsurePeer)
+    Options.EnsurePeer(*Address);
   R.HolderAttached = true;
+  ++R.StreamSerial;
+  R.Stream = 0;
   R.Address = *Address;
   R.Incarnation = End.holder_incarnation();
   R.SentEpoch = ~uint64_t(0);
--- a/entry/dispatcher_test.cpp
+++ b/entry/dispatcher_test.cpp
@@ -36,6 +36,7 @@
         .Consume = [](auto, size_t) {},
         .Views = [this](std::string_view) { return Views; },
         .AddressOf = [](std::string_view Name) { return std::string(Name); },
+        .EnsurePeer = {},
         .ConfigVersion = [] { return uint64_t(1); },
         .Random = [] { return 0.0; },
         .Trace = {},
--- /dev/null
+++ b/entry/http_checks.h
@@ -0,0 +1,73 @@
+/// \file
+/// Checks of what callers send. Every function throws input_error.
+
+#ifndef CARDAMOM_ENTRY_HTTP_CHECKS_H
+#define CARDAMOM_ENTRY_HTTP_CHECKS_H
+
+#include "base/time.h"
+
+#include <cstdint>
+#include <nlohmann/json_fwd.hpp>
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace cardamom {
+
+struct completion_request {
+  std::string Model;
+  std::string Prompt;
+  unsigned MaxTokens = 256;
+  bool Stream = false;
+};
+
+/// One group of a step.
+struct step_group {
+  uint64_t Group = 0;
+  std::string Prompt;
+  unsigned Samples = 1;
+  unsigned MaxTokens = 1;
+};
+
+struct step_submission {
+  uint64_t Version = 0;
+  std::vector<step_group> Groups;
+};
+
+/// Samples in one step; 512 are expected.
+inline constexpr unsigned MaxStepSamples = 4096;
+inline constexpr unsigned MaxTokensLimit = 65536;
+
+struct sample_key {
+  uint64_t Group = 0;
+  uint32_t Index = 0;
+  auto operator<=>(const sample_key &) const = default;
+};
+
+struct draw_request {
+  uint64_t Version = 0;
+  uint64_t Epoch = 0;
+  std::vector<sample_key> Have;
+  unsigned Max = 64;
+  milliseconds Wait{0};
+};
+
+struct weights_request {
+  uint64_t Version = 0;
+  std::string Source;
+};
+
+completion_request parseCompletion(std::string_view Body);
+step_submission parseSubmission(std::string_view Body);
+draw_request parseDraw(std::string_view Body);
+weights_request parseWeights(std::string_view Body);
+
+/// Value of X-Request-Timeout-Ms (100 to 300000).
+milliseconds parseTimeout(std::string_view Value);
+/// Value of Idempotency-Key: 1 to 128 printable ASCII bytes.
+std::string parseKey(std::string_view Value);
+uint64_t parseNumber(std::string_view Field, std::string_view Value);
+
+} // namespace cardamom
+
+#endif // CARDAMOM_ENTRY_HTTP_CHECKS_H
--- /dev/null
+++ b/entry/http_front.cpp
@@ -0,0 +1,283 @@
+#include "entry/http_front.h"
+
+#include "base/log.h"
+#include "base/metrics.h"
+#include "entry/http_checks.h"
+#include "entry/http_response.h"
+
+#include <httplib.h>
+#include <system_error>
+#include <utility>
+#include <vector>
+
+namespace cardamom {
+
+static constexpr size_t MaxBodyBytes = 960U << 10;
+// A chunked body beyond this is not read to its end.
+static constexpr size_t MaxSkippedBytes = 64U << 20;
+// Idle connections give their thread back after this time.
+static constexpr time_t KeepAliveSeconds = 10;
+static constexpr size_t KeepAliveRequests = 1000000;
+static constexpr time_t SocketTimeoutSeconds = 20;
+
+void sendReply(const http_reply &Reply, httplib::Response &Response) {
+  Response.status = Reply.Status;
+  Response.set_content(Reply.Body, Reply.ContentType);
+  if (!Reply.Error)
+    return;
+  Response.set_header("Cardamom-Verdict",
+                      std::string(toString(Reply.Certainty)));
+  if (Reply.RetryAfter <= milliseconds(0))
+    return;
+  // The header counts whole seconds; the body has the milliseconds.
+  const auto Seconds = (Reply.RetryAfter.count() + 999) / 1000;
+  Response.set_header("Retry-After", std::to_string(Seconds));
+}
+
+bool isInternalHeader(std::string_view Name) {
+  httplib::detail::ci Less;
+  const auto Same = [&](const char *Other) {
+    return !Less(std::string(Name), Other) && !Less(Other, std::string(Name));
+  };
+  return Same(HiddenContentType) || Same("X-Request-Timeout-Ms");
+}
+
+std::optional<trainer_call> parseTrainerCall(std::string_view Method,
+                                             std::string_view Path) {
+  static constexpr std::string_view Prefix = "/v1/trainers/";
+  if (!Path.starts_with(Prefix))
+    return std::nullopt;
+  std::vector<std::string> Parts;
+  std::string_view Rest = Path.substr(Prefix.size());
+  while (true) {
+    const size_t Slash = Rest.find('/');
+    Parts.emplace_back(Rest.substr(0, Slash));
+    if (Slash == std::string_view::npos)
+      break;
+    Rest.remove_prefix(Slash + 1);
+  }
+  trainer_call Call;
+  Call.Trainer = Parts[0];
+  if (Method == "POST" && Parts.size() == 2 && Parts[1] == "weights") {
+    Call.Kind = trainer_call::kind::Weights;
+    return Call;
+  }
+  if (Parts.size() < 3 || Parts[1] != "steps")
+    return std::nullopt;
+  Call.Step = parseNumber("step", Parts[2]);
+  if (Method == "PUT" && Parts.size() == 3) {
+    Call.Kind = trainer_call::kind::Submit;
+    return Call;
+  }
+  if (Method == "POST" && Parts.size() == 4 && Parts[3] == "draw")
+    return Call;
+  return std::nullopt;
+}
+
+http_front::http_front(http_front_options Options)
+    : Options(std::move(Options)), Relay(*this->Options.Dispatcher),
+      Server(std::make_unique<httplib::Server>()) {
+  Server->set_tcp_nodelay(true);
+  Server->set_keep_alive_max_count(KeepAliveRequests);
+  Server->set_keep_alive_timeout(KeepAliveSeconds);
+  Server->set_read_timeout(SocketTimeoutSeconds);
+  Server->set_write_timeout(SocketTimeoutSeconds);
+  Server->set_payload_max_length(MaxBodyBytes);
+  const size_t Threads = this->Options.Threads;
+  Server->new_task_queue = [Threads] {
+    return new httplib::ThreadPool(Threads);
+  };
+  addHandlers();
+}
+
+http_front::~http_front() { stop(); }
+
+void http_front::start() {
+  int Bound = Options.Port;
+  if (Options.Port == 0)
+    Bound = Server->bind_to_any_port(Options.Host);
+  else if (!Server->bind_to_port(Options.Host, Options.Port))
+    Bound = -1;
+  if (Bound < 0)
+    throw std::system_error(std::make_error_code(std::errc::address_in_use),
+                            "cannot listen for HTTP on " + Options.Host + ":" +
+                                std::to_string(Options.Port));
+  Port = uint16_t(Bound);
+  Thread = std::thread([this] { Server->listen_after_bind(); });
+  while (!Server->is_running())
+    std::this_thread::yield();
+}
+
+void http_front::stop() {
+  if (!Thread.joinable())
+    return;
+  Server->stop();
+  Thread.join();
+}
+
+// cpp-httplib takes form bodies apart, and refuses large ones, by their
+// Content-Type. They have to pass unchanged, so the type moves to another
+// header before the body is read.
+static void hideFormType(httplib::Request &Request) {
+  const std::string Type = Request.get_header_value("Content-Type");
+  if (!Type.starts_with("multipart/") &&
+      !Type.starts_with("application/x-www-form-urlencoded"))
+    return;
+  Request.headers.erase("Content-Type");
+  Request.set_header(HiddenContentType, Type);
+}
+
+void http_front::addHandlers() {
+  using httplib::ContentReader;
+  using httplib::Request;
+  using httplib::Response;
+  Server->set_pre_routing_handler([](const Request &Req, Response &) {
+    // The request belongs to the server's thread and is not constant there.
+    auto &Mutable = const_cast<Request &>(Req);
+    hideFormType(Mutable);
+    // Ranges are for the upstream to apply; cpp-httplib would do so again.
+    Mutable.ranges.clear();
+    return httplib::Server::HandlerResponse::Unhandled;
+  });
+  const auto Plain = [this](const Request &Req, Response &Res) {
+    handle(Req, Res, nullptr);
+  };
+  const auto WithBody = [this](const Request &Req, Response &Res,
+                               const ContentReader &Reader) {
+    handle(Req, Res, &Reader);
+  };
+  Server->Get(".*", Plain);
+  Server->Options(".*", Plain);
+  Server->Post(".*", WithBody);
+  Server->Put(".*", WithBody);
+  Server->Patch(".*", WithBody);
+  Server->Delete(".*", WithBody);
+  Server->set_error_handler([](const Request &, Response &Res) {
+    if (!Res.body.empty())
+      return;
+    const int Status = Res.status;
+    sendReply(errorReply(Status, {.Certainty = run_certainty::NotRun,
+                                  .Reason = "malformed_request",
+                                  .Message = "the HTTP request cannot be "
+                                             "served"}),
+              Res);
+    if (!Res.has_header("X-Request-Id"))
+      Res.set_header("X-Request-Id", randomId());
+  });
+}
+
+// Reads the body within the limit. Bytes beyond it are skipped, so that the
+// connection stays in step.
+static std::string readBody(const httplib::ContentReader &Reader,
+                            httplib::Response &Response) {
+  std::string Body;
+  size_t Total = 0;
+  const bool Whole = Reader([&](const char *Data, size_t Size) {
+    Total += Size;
+    if (Total <= MaxBodyBytes)
+      Body.append(Data, Size);
+    return Total <= MaxSkippedBytes;
+  });
+  if (Total > MaxBodyBytes || Response.status == 413)
+    throw input_error(413, "body_too_large", "body", "at most 960 KiB");
+  if (!Whole)
+    throw input_error(400, "body_unreadable", "body",
+                      "a body of the announced length and encoding");
+  return Body;
+}
+
+void http_front::handle(const httplib::Request &Request,
+                        httplib::Response &Response,
+                        const httplib::ContentReader *Reader) {
+  caller_request Caller{.RequestId = randomId(), .Body = {}, .ContentType = {}};
+  Response.set_header("X-Request-Id", Caller.RequestId);
+  if (Options.Draining())
+    Response.set_header("Connection", "close");
+  try {
+    if (Reader)
+      Caller.Body = readBody(*Reader, Response);
+    Response.status = -1;
+    Caller.ContentType = Request.has_header(HiddenContentType)
+                             ? Request.get_header_value(HiddenContentType)
+                             : Request.get_header_value("Content-Type");
+    serve(std::move(Caller), Request, Response);
+  } catch (const input_error &Error) {
+    sendReply(errorReply(Error), Response);
+  } catch (const std::exception &Error) {
+    logFault("request_failed",
+             {{"path", Request.path}, {"error", Error.what()}});
+    sendReply(errorReply(500, {.Certainty = run_certainty::MayHaveRun,
+                               .Reason = "internal_error",
+                               .Message = Error.what()}),
+              Response);
+  }
+}
+
+http_reply http_front::operatorPage(const httplib::Request &Request) {
+  http_reply Reply;
+  Reply.ContentType = "text/plain";
+  if (Request.path == "/healthz") {
+    Reply.Body = "ok\n";
+    return Reply;
+  }
+  if (Request.path == "/metrics") {
+    Reply.ContentType = "text/plain; version=0.0.4";
+    Reply.Body = metrics::get().expose();
+    return Reply;
+  }
+  if (Request.path == "/readyz") {
+    if (const auto Reason = Options.NotReady())
+      return errorReply(503, *Reason);
+    Reply.Body = "ready\n";
+    return Reply;
+  }
+  if (auto Page = Options.Operator(Request))
+    return std::move(*Page);
+  Reply.Status = 0;
+  return Reply;
+}
+
+void http_front::serve(caller_request Caller, const httplib::Request &Request,
+                       httplib::Response &Response) {
+  if (Request.method == "GET" || Request.method == "HEAD") {
+    const http_reply Page = operatorPage(Request);
+    if (Page.Status != 0) {
+      sendReply(Page, Response);
+      return;
+    }
+  }
+  InFlight->fetch_add(1);
+  // Released with the response, after its last byte has been written.
+  const std::shared_ptr<void> Guard(
+      nullptr, [Counter = InFlight](void *) { Counter->fetch_sub(1); });
+  if (const auto Refusal = Options.Refusal()) {
+    sendReply(errorReply(*Refusal), Response);
+    return;
+  }
+  const auto Config = Options.Config();
+  if (Request.path == "/v1/completions") {
+    if (Request.method != "POST")
+      throw input_error(404, "unknown_route", "method", "POST");
+    Relay.completions(Caller, *Config, Request, Response);
+  } else if (auto Call = parseTrainerCall(Request.method, Request.path)) {
+    if (!Config->findTrainer(Call->Trainer))
+      throw input_error(404, "unknown_trainer", "trainer",
+                        "a trainer of the rules");
+    Call->Body = std::move(Caller.Body);
+    sendReply(Options.Trainer(*Call), Response);
+  } else if (const route_rule *Route = Config->findRoute(Request.path)) {
+    Relay.plain(Caller, *Route, Request, Response);
+  } else {
+    throw input_error(404, "unknown_route", "path", "a route of the rules");
+  }
+  if (!Response.content_provider_)
+    return;
+  auto Release = std::move(Response.content_provider_resource_releaser_);
+  Response.content_provider_resource_releaser_ = [Release,
+                                                  Guard](bool Success) {
+    if (Release)
+      Release(Success);
+  };
+}
+
+} // namespace cardamom
--- /dev/null
+++ b/entry/http_front.h
@@ -0,0 +1,102 @@
+/// \file
+/// HTTP server of an entry for callers, trainers and operators.
+///
+/// Use:
+///   http_front Front({.Port = 8080, .Dispatcher = &Dispatcher, ...});
+///   Front.start();   // throws std::system_error when it cannot bind
+///   ...
+///   Front.stop();    // refuses new connections, waits for calls in flight
+///
+/// Each connection holds one of Threads while it is open; a request body is at
+/// most 960 KiB, because it must fit one frame of the inner protocol.
+
+#ifndef CARDAMOM_ENTRY_HTTP_FRONT_H
+#define CARDAMOM_ENTRY_HTTP_FRONT_H
+
+#include "entry/caller_relay.h"
+#include "entry/http_reply.h"
+
+#include <atomic>
+#include <cstdint>
+#include <functional>
+#include <memory>
+#include <optional>
+#include <string>
+#include <string_view>
+#include <thread>
+
+namespace httplib {
+class ContentReader;
+class Server;
+} // namespace httplib
+
+namespace cardamom {
+
+/// "/v1/trainers/{Trainer}/weights", ".../steps/{Step}" or
+/// ".../steps/{Step}/draw".
+struct trainer_call {
+  enum class kind { Submit, Draw, Weights };
+  kind Kind = kind::Draw;
+  std::string Trainer;
+  uint64_t Step = 0;
+  std::string Body;
+};
+
+/// Parses method and path; nothing when they name no trainer call. Throws
+/// input_error for a malformed step.
+std::optional<trainer_call> parseTrainerCall(std::string_view Method,
+                                             std::string_view Path);
+
+struct http_front_options {
+  std::string Host = "127.0.0.1";
+  /// 0 lets the system choose; see http_front::port().
+  uint16_t Port = 0;
+  size_t Threads = 256;
+  dispatcher *Dispatcher = nullptr;
+  /// Null while no configuration is known.
+  std::function<std::shared_ptr<const configuration>()> Config;
+  /// Why new work is refused; nothing when it is admitted.
+  std::function<std::optional<verdict>()> Refusal;
+  /// Why "/readyz" answers 503; nothing when the entry is ready.
+  std::function<std::optional<verdict>()> NotReady;
+  std::function<bool()> Draining;
+  /// A trainer's call; the trainer is in the configuration. May block.
+  std::function<http_reply(const trainer_call &Call)> Trainer;
+  /// "/status", "/explain" and "/trace/{id}"; nothing for another path.
+  std::function<std::optional<http_reply>(const httplib::Request &Request)>
+      Operator;
+};
+
+class http_front {
+public:
+  explicit http_front(http_front_options Options);
+  ~http_front();
+  http_front(const http_front &) = delete;
+  http_front &operator=(const http_front &) = delete;
+
+  void start();
+  void stop();
+  [[nodiscard]] uint16_t port() const { return Port; }
+  /// Calls of callers and trainers that have not been answered in full.
+  [[nodiscard]] size_t inFlight() const { return *InFlight; }
+
+private:
+  void addHandlers();
+  void handle(const httplib::Request &Request, httplib::Response &Response,
+              const httplib::ContentReader *Reader);
+  http_reply operatorPage(const httplib::Request &Request);
+  void serve(caller_request Caller, const httplib::Request &Request,
+             httplib::Response &Response);
+
+  http_front_options Options;
+  caller_relay Relay;
+  std::unique_ptr<httplib::Server> Server;
+  std::thread Thread;
+  uint16_t Port = 0;
+  std::shared_ptr<std::atomic<size_t>> InFlight =
+      std::make_shared<std::atomic<size_t>>(0);
+};
+
+} // namespace cardamom
+
+#endif // CARDAMOM_ENTRY_HTTP_FRONT_H
--- a/entry/upstream_directory.h
+++ b/entry/upstream_directory.h
@@ -3,7 +3,7 @@
 /// the connection to its agent, and the agent's last load report.
 ///
 /// Use:
-///   upstream_directory Directory;
+///   upstream_directory Directory({.EntryName = "entry-1"});
 ///   Directory.setConfiguration(Configuration);
 ///   Directory.onPeerUp(Address, Identity, Epoch); // from inner_client hooks
 ///   Directory.onHeartbeat(Address, Heartbeat, Now);
@@ -27,6 +27,7 @@
 #include <set>
 #include <string>
 #include <string_view>
+#include <utility>
 #include <vector>
 
 namespace cardamom {
@@ -47,8 +48,17 @@
   uint32_t LoadAgeMs = 0;
 };
 
+struct upstream_directory_options {
+  /// Chooses, with the size, which agents of each pool this entry connects to.
+  std::string EntryName;
+  size_t AgentsPerPool = 40;
+};
+
 class upstream_directory {
 public:
+  explicit upstream_directory(upstream_directory_options Options = {})
+      : Options(std::move(Options)) {}
+
   void setConfiguration(std::shared_ptr<const configuration> Configuration);
   [[nodiscard]] std::shared_ptr<const configuration> config() const;
   /// Names of VMs that the platform is about to stop.
@@ -66,13 +76,15 @@
   /// unless that would leave no connected one.
   [[nodiscard]] std::vector<upstream_view> views(std::string_view Pool) const;
   [[nodiscard]] std::vector<upstream_status> status() const;
-  /// Inner addresses of all agents in the configuration.
+  /// Inner addresses of the agents that this entry connects to.
   [[nodiscard]] std::vector<std::string> agentAddresses() const;
   /// Inner address of an upstream, or of the agent process with that name.
   [[nodiscard]] std::optional<std::string>
   addressOf(std::string_view Name) const;
+  /// Inner addresses of the pool's agents that this entry connects to.
   [[nodiscard]] std::vector<std::string>
   addressesOfPool(std::string_view Pool) const;
+  [[nodiscard]] size_t entries() const;
 
 private:
   /// Connection and load of one agent, by inner address.
@@ -94,10 +106,14 @@
 
   [[nodiscard]] upstream_status statusOf(const asset &Asset) const;
   [[nodiscard]] std::string domainOf(std::string_view Address) const;
+  void chooseAgents();
   [[nodiscard]] bool mostlyUnreachable(std::string_view Domain) const;
 
+  upstream_directory_options Options;
   mutable std::mutex Mutex;
   std::shared_ptr<const configuration> Configuration;
+  /// Inner addresses chosen from the configuration.
+  std::set<std::string, std::less<>> Chosen;
   std::set<std::string> LeavingVms;
   std::map<std::string, agent_state, std::less<>> Agents;
   std::set<std::string, std::less<>> AvoidedDomains;
--- a/policy/router.h
+++ b/policy/router.h
@@ -74,6 +74,9 @@
 public:
   explicit router(router_options Options);
 
+  /// Follows changes of the configuration; see router_options::Entries.
+  void setEntries(double Entries) { Options.Entries = Entries; }
+
   /// Index of the chosen candidate, or nothing when none is eligible.
   std::optional<size_t> pick(const route_request &Request,
                              std::span<const upstream_view> Candidates,
