--- a/Makefile
+++ b/Makefile
@@ -12,7 +12,7 @@
 	cmake --build $(BUILD) -j $(JOBS)
 
 demo: build
-	scripts/demo.sh $(BUILD)
+	CARDAMOM_BUILD=$(BUILD) scripts/demo.py
 
 test: deps
 	scripts/test.sh
