Refuse calls in the test store after reading their body

Change: the test store reads the body first. The client is unchanged, and the test is as strict as before. Conclusion: the fault was in the test's server.

--- a/store/test_store.h
+++ b/store/test_store.h
@@ -102,33 +102,45 @@
         [](size_t, size_t, httplib::DataSink &) { return false; });
   }
 
-  void addRoutes() {
-    Server.set_pre_routing_handler([this](const auto &, auto &Response) {
-      if (RefuseWith == 0)
-        return httplib::Server::HandlerResponse::Unhandled;
-      Response.status = RefuseWith;
+  using handler =
+      std::function<void(const httplib::Request &, httplib::Response &)>;
+
+  /// Refuses calls only after their body has been read: bytes that are left
+  /// unread would be taken for the next request on the connection.
+  handler refusable(handler Handler) {
+    return [this, Handler = std::move(Handler)](const auto &Request,
+                                                auto &Response) {
+      const int Status = RefuseWith;
+      if (Status == 0)
+        return Handler(Request, Response);
+      Response.status = Status;
       Response.set_header("Retry-After", "2");
-      return httplib::Server::HandlerResponse::Handled;
-    });
-    Server.Get("/v1/objects", [this](const auto &Request, auto &Response) {
-      list(Request.get_param_value("prefix"), Response);
-    });
-    Server.Get("/v1/objects/(.+)", [this](const auto &Request, auto &Response) {
-      get(Request.matches[1], Response);
-    });
-    Server.Get("/v1/watch/(.+)", [this](const auto &Request, auto &Response) {
-      watch(Request, Response);
-    });
-    Server.Put("/v1/objects/(.+)", [this](const auto &Request, auto &Response) {
-      write(Request, Response);
-    });
-    Server.Delete("/v1/objects/(.+)",
-                  [this](const auto &Request, auto &Response) {
-                    write(Request, Response);
-                  });
-    Server.Get("/v1/vms", [](const auto &, auto &Response) {
-      answer(Response, 200, {{"version", 4}, {"vms", nlohmann::json::array()}});
-    });
+    };
+  }
+
+  void addRoutes() {
+    Server.Get("/v1/objects",
+               refusable([this](const auto &Request, auto &Response) {
+                 list(Request.get_param_value("prefix"), Response);
+               }));
+    Server.Get("/v1/objects/(.+)",
+               refusable([this](const auto &Request, auto &Response) {
+                 get(Request.matches[1], Response);
+               }));
+    Server.Get("/v1/watch/(.+)",
+               refusable([this](const auto &Request, auto &Response) {
+                 watch(Request, Response);
+               }));
+    const handler Write =
+        refusable([this](const auto &Request, auto &Response) {
+          write(Request, Response);
+        });
+    Server.Put("/v1/objects/(.+)", Write);
+    Server.Delete("/v1/objects/(.+)", Write);
+    Server.Get("/v1/vms", refusable([](const auto &, auto &Response) {
+                 answer(Response, 200,
+                        {{"version", 4}, {"vms", nlohmann::json::array()}});
+               }));
   }
 
   void get(const std::string &Key, httplib::Response &Response) {
