--- /dev/null
+++ b/agent/token_stream.cpp
@@ -0,0 +1,55 @@
+#include "agent/token_stream.h"
+
+#include <nlohmann/json.hpp>
+
+#include <utility>
+
+namespace cardamom {
+
+using json = nlohmann::json;
+
+token_stream::token_stream(token_stream_options Options)
+    : Options(std::move(Options)) {}
+
+token_stream_result token_stream::parseLine(std::string_view Line) {
+  const json Object = json::parse(Line, nullptr, false);
+  if (!Object.is_object())
+    return token_stream_result::Malformed;
+  if (Object.contains("done"))
+    return token_stream_result::Done;
+  if (Object.contains("cancelled"))
+    return token_stream_result::Cancelled;
+  const auto Token = Object.find("token");
+  if (Token == Object.end() || !Token->is_string())
+    return token_stream_result::Malformed;
+  const auto Version = Object.find("version");
+  if (Version == Object.end() || !Version->is_number_unsigned())
+    return token_stream_result::Unlabelled;
+  if (!Options.OnText(Token->get_ref<const std::string &>()))
+    return token_stream_result::GivenUp;
+  Options.OnToken(Version->get<uint64_t>());
+  return token_stream_result::Open;
+}
+
+bool token_stream::feed(std::string_view Bytes) {
+  while (Result == token_stream_result::Open && !Bytes.empty()) {
+    const size_t End = Bytes.find('\n');
+    Partial += Bytes.substr(0, End);
+    if (Partial.size() > Options.MaxLine) {
+      Result = token_stream_result::Malformed;
+      break;
+    }
+    if (End == std::string_view::npos)
+      return true;
+    Bytes.remove_prefix(End + 1);
+    if (!Partial.empty())
+      Result = parseLine(Partial);
+    Partial.clear();
+  }
+  // After the last line the engine only closes the stream.
+  return Result == token_stream_result::Open ||
+         Result == token_stream_result::Done ||
+         Result == token_stream_result::Cancelled;
+}
+
+} // namespace cardamom
--- /dev/null
+++ b/agent/token_stream.h
@@ -0,0 +1,59 @@
+/// \file
+/// Parser of the answer of a model engine: lines of JSON that arrive in
+/// pieces of any size.
+///
+/// Use:
+///   token_stream Stream({.OnText = ..., .OnToken = ...});
+///   while (...) if (!Stream.feed(Bytes)) break;
+///   switch (Stream.result()) ...
+
+#ifndef CARDAMOM_AGENT_TOKEN_STREAM_H
+#define CARDAMOM_AGENT_TOKEN_STREAM_H
+
+#include <cstddef>
+#include <cstdint>
+#include <functional>
+#include <string>
+#include <string_view>
+
+namespace cardamom {
+
+enum class token_stream_result {
+  /// The stream has not said that it is done.
+  Open,
+  Done,
+  Cancelled,
+  /// A token came without its weight version.
+  Unlabelled,
+  /// A line is not what an engine sends, or too long.
+  Malformed,
+  /// OnText gave up.
+  GivenUp,
+};
+
+struct token_stream_options {
+  std::function<bool(std::string_view Text)> OnText;
+  std::function<void(uint64_t Version)> OnToken;
+  /// Longest line in bytes.
+  size_t MaxLine = size_t(1) << 20;
+};
+
+class token_stream {
+public:
+  explicit token_stream(token_stream_options Options);
+
+  /// Returns false when the rest of the stream is of no use.
+  bool feed(std::string_view Bytes);
+  [[nodiscard]] token_stream_result result() const { return Result; }
+
+private:
+  token_stream_result parseLine(std::string_view Line);
+
+  token_stream_options Options;
+  std::string Partial;
+  token_stream_result Result = token_stream_result::Open;
+};
+
+} // namespace cardamom
+
+#endif // CARDAMOM_AGENT_TOKEN_STREAM_H
--- /dev/null
+++ b/agent/upstream_driver.cpp
@@ -0,0 +1,273 @@
+#include "agent/upstream_driver.h"
+
+#include "agent/token_stream.h"
+#include "inner/gen/messages.pb.h"
+
+#include <httplib.h>
+#include <nlohmann/json.hpp>
+
+#include <algorithm>
+#include <atomic>
+#include <cctype>
+#include <set>
+#include <utility>
+
+// <httplib.h> includes a header of the resolver that defines this macro.
+#undef REFUSED
+
+namespace cardamom {
+
+struct upstream_driver::active_call {
+  explicit active_call(const std::string &Address)
+      : Client("http://" + Address) {}
+  httplib::Client Client;
+  bool IsModel = false;
+  std::atomic<bool> Cancelled{false};
+};
+
+/// Keeps a call where cancel() finds it.
+class upstream_driver::call_scope {
+public:
+  call_scope(upstream_driver &Driver, std::string_view Id, bool IsModel)
+      : Driver(Driver), Id(Id),
+        Call(std::make_shared<active_call>(Driver.Options.Address)) {
+    const upstream_driver_options &O = Driver.Options;
+    Call->IsModel = IsModel;
+    Call->Client.set_connection_timeout(O.ConnectTimeout);
+    Call->Client.set_read_timeout(IsModel ? O.ModelIdleTimeout
+                                          : O.PlainIdleTimeout);
+    Call->Client.set_write_timeout(O.PlainIdleTimeout);
+    Call->Client.set_tcp_nodelay(true);
+    // The caller's request and the answer pass through as they are.
+    Call->Client.set_url_encode(false);
+    Call->Client.set_decompress(false);
+    std::lock_guard Lock(Driver.Mutex);
+    Driver.Calls[this->Id] = Call;
+  }
+  ~call_scope() {
+    std::lock_guard Lock(Driver.Mutex);
+    Driver.Calls.erase(Id);
+  }
+  call_scope(const call_scope &) = delete;
+  call_scope &operator=(const call_scope &) = delete;
+
+  active_call &call() { return *Call; }
+
+private:
+  upstream_driver &Driver;
+  std::string Id;
+  std::shared_ptr<active_call> Call;
+};
+
+upstream_driver::upstream_driver(upstream_driver_options Options)
+    : Options(std::move(Options)), Engine({.Address = this->Options.Address}) {}
+
+upstream_driver::~upstream_driver() = default;
+
+static wire::run_end makeEnd(wire::run_end_code Code, std::string_view Reason,
+                             std::string Message = {}) {
+  wire::run_end End;
+  End.set_code(Code);
+  End.set_reason(std::string(Reason));
+  End.set_message(std::move(Message));
+  return End;
+}
+
+static std::string toLower(std::string_view Text) {
+  std::string Lower(Text);
+  std::transform(Lower.begin(), Lower.end(), Lower.begin(),
+                 [](unsigned char C) { return char(std::tolower(C)); });
+  return Lower;
+}
+
+/// Headers that belong to one connection, or that the HTTP library sets.
+static std::set<std::string> connectionHeaders(const std::string &Connection) {
+  std::set<std::string> Names = {"connection",
+                                 "keep-alive",
+                                 "proxy-authenticate",
+                                 "proxy-authorization",
+                                 "te",
+                                 "trailer",
+                                 "transfer-encoding",
+                                 "upgrade",
+                                 "proxy-connection",
+                                 "host",
+                                 "content-length",
+                                 "expect"};
+  std::string Name;
+  for (char C : toLower(Connection) + ",") {
+    if (C != ',') {
+      if (C != ' ' && C != '\t')
+        Name += C;
+      continue;
+    }
+    Names.insert(Name);
+    Name.clear();
+  }
+  return Names;
+}
+
+static wire::response_head toHead(const httplib::Response &Response) {
+  wire::response_head Head;
+  Head.set_status(uint32_t(Response.status));
+  const auto Skipped =
+      connectionHeaders(Response.get_header_value("Connection"));
+  for (const auto &[Name, Value] : Response.headers) {
+    if (Skipped.contains(toLower(Name)))
+      continue;
+    wire::header_field &Field = *Head.add_headers();
+    Field.set_name(Name);
+    Field.set_value(Value);
+  }
+  return Head;
+}
+
+wire::run_end upstream_driver::send(active_call &Call,
+                                    httplib::Request &Request,
+                                    httplib::Response &Response) {
+  httplib::Error Error = httplib::Error::Success;
+  const bool Sent = Call.Client.send(Request, Response, Error);
+  if (Sent)
+    return makeEnd(wire::COMPLETED, "");
+  if (Error == httplib::Error::Connection ||
+      Error == httplib::Error::ConnectionTimeout)
+    return makeEnd(wire::REFUSED, "upstream_unreachable",
+                   Options.Address + ": " + httplib::to_string(Error));
+  if (Call.Cancelled)
+    return makeEnd(wire::CANCELLED, "cancelled");
+  return makeEnd(wire::UPSTREAM_FAILED,
+                 Call.IsModel ? "engine_failed" : "upstream_failed",
+                 Options.Address + ": " + httplib::to_string(Error));
+}
+
+wire::run_end upstream_driver::runPlain(std::string_view Id,
+                                        const wire::plain_call &Call,
+                                        const run_sink &Sink) {
+  httplib::Request Request;
+  Request.method = Call.method();
+  Request.path = Call.target();
+  Request.body = Call.body();
+  std::string Connection;
+  for (const wire::header_field &Field : Call.headers())
+    if (toLower(Field.name()) == "connection")
+      Connection += Field.value() + ",";
+  const auto Skipped = connectionHeaders(Connection);
+  for (const wire::header_field &Field : Call.headers())
+    if (!Skipped.contains(toLower(Field.name())))
+      Request.headers.emplace(Field.name(), Field.value());
+  bool HasHead = false;
+  bool GivenUp = false;
+  Request.response_handler = [&](const httplib::Response &Response) {
+    HasHead = true;
+    Sink.OnHead(toHead(Response));
+    return true;
+  };
+  Request.content_receiver = [&](const char *Data, size_t Length, uint64_t,
+                                 uint64_t) {
+    GivenUp = !Sink.OnBytes({Data, Length});
+    return !GivenUp;
+  };
+  call_scope Scope(*this, Id, false);
+  httplib::Response Response;
+  wire::run_end End = send(Scope.call(), Request, Response);
+  if (End.code() == wire::COMPLETED && !HasHead)
+    Sink.OnHead(toHead(Response)); // HEAD and 204 have no body.
+  if (GivenUp && End.code() == wire::UPSTREAM_FAILED)
+    End.set_reason("answer_not_taken");
+  return End;
+}
+
+static std::string generateBody(std::string_view Id,
+                                const wire::model_call &Call,
+                                unsigned Priority) {
+  const nlohmann::json Body = {{"request_id", std::string(Id)},
+                               {"prompt", Call.prompt()},
+                               {"max_tokens", Call.max_tokens()},
+                               {"priority", Priority},
+                               {"resume_text", Call.resume_text()},
+                               {"resume_tokens", Call.resume_tokens()}};
+  // Callers' text may hold bytes that are not UTF-8.
+  return Body.dump(-1, ' ', false, nlohmann::json::error_handler_t::replace);
+}
+
+/// End of a model call whose HTTP exchange ended as Sent.
+static wire::run_end modelEnd(token_stream_result Result, int Status,
+                              wire::run_end Sent) {
+  if (Sent.code() == wire::REFUSED)
+    return Sent;
+  if (Status != 0 && Status != 200)
+    return makeEnd(wire::UPSTREAM_FAILED, "engine_status",
+                   "engine answered status " + std::to_string(Status));
+  switch (Result) {
+  case token_stream_result::Done:
+    return makeEnd(wire::COMPLETED, "");
+  case token_stream_result::Cancelled:
+    return makeEnd(wire::CANCELLED, "cancelled");
+  case token_stream_result::Unlabelled:
+    return makeEnd(wire::UPSTREAM_FAILED, "unlabelled",
+                   "a token has no weight version");
+  case token_stream_result::Malformed:
+    return makeEnd(wire::UPSTREAM_FAILED, "engine_protocol",
+                   "a line of the engine is malformed");
+  case token_stream_result::GivenUp:
+    if (Sent.code() == wire::CANCELLED)
+      return Sent;
+    return makeEnd(wire::UPSTREAM_FAILED, "answer_not_taken");
+  case token_stream_result::Open:
+    break;
+  }
+  if (Sent.code() != wire::COMPLETED)
+    return Sent;
+  return makeEnd(wire::UPSTREAM_FAILED, "engine_failed",
+                 "the stream ended without \"done\"");
+}
+
+wire::run_end upstream_driver::runModel(std::string_view Id,
+                                        const wire::model_call &Call,
+                                        unsigned Priority,
+                                        const run_sink &Sink) {
+  httplib::Request Request;
+  Request.method = "POST";
+  Request.path = "/generate";
+  Request.body = generateBody(Id, Call, Priority);
+  Request.headers.emplace("Content-Type", "application/json");
+  int Status = 0;
+  Request.response_handler = [&](const httplib::Response &Response) {
+    Status = Response.status;
+    if (Status == 200)
+      Sink.OnHead(toHead(Response));
+    return Status == 200;
+  };
+  token_stream Stream({.OnText = Sink.OnBytes, .OnToken = Sink.OnToken});
+  Request.content_receiver = [&](const char *Data, size_t Length, uint64_t,
+                                 uint64_t) {
+    return Stream.feed({Data, Length});
+  };
+  call_scope Scope(*this, Id, true);
+  httplib::Response Response;
+  const wire::run_end Sent = send(Scope.call(), Request, Response);
+  wire::run_end End = modelEnd(Stream.result(), Status, Sent);
+  // The engine may still generate for a stream that was given up here.
+  if (End.code() == wire::UPSTREAM_FAILED)
+    (void)Engine.cancel(Id);
+  return End;
+}
+
+std::shared_ptr<upstream_driver::active_call>
+upstream_driver::find(std::string_view Id) {
+  std::lock_guard Lock(Mutex);
+  const auto It = Calls.find(Id);
+  return It == Calls.end() ? nullptr : It->second;
+}
+
+void upstream_driver::cancel(std::string_view Id) {
+  const std::shared_ptr<active_call> Call = find(Id);
+  if (!Call)
+    return;
+  Call->Cancelled = true;
+  // A confirmed cancellation ends the stream with its own last line.
+  if (!Call->IsModel || !Engine.cancel(Id))
+    Call->Client.stop();
+}
+
+} // namespace cardamom
--- /dev/null
+++ b/agent/upstream_driver_thread_test.cpp
@@ -0,0 +1,224 @@
+#include "agent/upstream_driver.h"
+
+#include "inner/gen/messages.pb.h"
+
+#include <cppunit/extensions/HelperMacros.h>
+#include <httplib.h>
+
+#include <atomic>
+#include <thread>
+
+// <httplib.h> includes a header of the resolver that defines this macro.
+#undef REFUSED
+
+namespace cardamom {
+
+namespace {
+/// What a sink was given.
+struct taken_answer {
+  wire::response_head Head;
+  std::string Bytes;
+  std::vector<uint64_t> Versions;
+
+  run_sink sink() {
+    return {
+        .OnHead = [this](wire::response_head New) { Head = std::move(New); },
+        .OnBytes =
+            [this](std::string_view New) {
+              Bytes += New;
+              return true;
+            },
+        .OnToken = [this](uint64_t V) { Versions.push_back(V); }};
+  }
+};
+
+/// HTTP server on an ephemeral port.
+struct local_server {
+  httplib::Server Server;
+  int Port = 0;
+  std::thread Thread;
+
+  void start() {
+    Port = Server.bind_to_any_port("127.0.0.1");
+    Thread = std::thread([this] { Server.listen_after_bind(); });
+    while (!Server.is_running())
+      std::this_thread::sleep_for(milliseconds(1));
+  }
+  ~local_server() {
+    Server.stop();
+    if (Thread.joinable())
+      Thread.join();
+  }
+  [[nodiscard]] std::string address() const {
+    return "127.0.0.1:" + std::to_string(Port);
+  }
+  /// POST /generate answers the lines.
+  void generate(const std::string &Lines) {
+    Server.Post("/generate",
+                [Lines](const httplib::Request &, httplib::Response &Response) {
+                  Response.set_chunked_content_provider(
+                      "text/plain", [Lines](size_t, httplib::DataSink &Sink) {
+                        // One byte a chunk: lines arrive in pieces.
+                        for (const char &C : Lines)
+                          Sink.write(&C, 1);
+                        Sink.done();
+                        return true;
+                      });
+                });
+  }
+};
+
+wire::run_end runModel(const std::string &Lines, taken_answer &Answer) {
+  local_server Server;
+  Server.generate(Lines);
+  Server.start();
+  upstream_driver Driver({.Address = Server.address()});
+  return Driver.runModel("id", {}, 0, Answer.sink());
+}
+} // namespace
+
+class upstream_driver_thread_test : public CppUnit::TestFixture {
+  CPPUNIT_TEST_SUITE(upstream_driver_thread_test);
+  CPPUNIT_TEST(passesPlainCallThrough);
+  CPPUNIT_TEST(tellsRefusedFromFailed);
+  CPPUNIT_TEST(labelsTokens);
+  CPPUNIT_TEST(failsWithoutLabelOrEnd);
+  CPPUNIT_TEST(cancelEndsSilentCall);
+  CPPUNIT_TEST(silentUpstreamTimesOut);
+  CPPUNIT_TEST_SUITE_END();
+
+public:
+  // Guards against answers or requests that change on the last hop.
+  void passesPlainCallThrough() {
+    local_server Server;
+    Server.Server.Put(
+        "/a", [](const httplib::Request &Request, httplib::Response &Response) {
+          Response.status = 418;
+          Response.set_header("X-Back", Request.get_header_value("X-There") +
+                                            Request.get_header_value("X-Hop"));
+          Response.set_content(Request.target + Request.body, "text/x");
+        });
+    Server.start();
+    upstream_driver Driver({.Address = Server.address()});
+    wire::plain_call Call;
+    Call.set_method("PUT");
+    Call.set_target("/a?x=%2f+1");
+    Call.set_body("body");
+    for (auto [Name, Value] : {std::pair{"x-there", "yes"},
+                               {"x-hop", "no"},
+                               {"connection", "X-Hop"}}) {
+      Call.add_headers()->set_name(Name);
+      Call.mutable_headers()->rbegin()->set_value(Value);
+    }
+    taken_answer Answer;
+    const wire::run_end End = Driver.runPlain("id", Call, Answer.sink());
+    CPPUNIT_ASSERT(End.code() == wire::COMPLETED);
+    CPPUNIT_ASSERT_EQUAL(418U, Answer.Head.status());
+    CPPUNIT_ASSERT_EQUAL(std::string("/a?x=%2f+1body"), Answer.Bytes);
+    bool Found = false;
+    for (const wire::header_field &Field : Answer.Head.headers())
+      Found |= Field.name() == "X-Back" && Field.value() == "yes";
+    CPPUNIT_ASSERT(Found);
+  }
+
+  // Guards against "not run" for a call that the upstream has seen.
+  void tellsRefusedFromFailed() {
+    taken_answer Answer;
+    std::string Address;
+    wire::plain_call Call;
+    Call.set_method("GET");
+    Call.set_target("/");
+    {
+      local_server Server;
+      Server.Server.Get("/", [](auto &, httplib::Response &Response) {
+        Response.set_content_provider(
+            100, "text/x", [](size_t, size_t, httplib::DataSink &Sink) {
+              Sink.write("part", 4);
+              return false;
+            });
+      });
+      Server.start();
+      Address = Server.address();
+      upstream_driver Driver({.Address = Address});
+      CPPUNIT_ASSERT(Driver.runPlain("id", Call, Answer.sink()).code() ==
+                     wire::UPSTREAM_FAILED);
+    }
+    upstream_driver Driver({.Address = Address});
+    const wire::run_end End = Driver.runPlain("id", Call, Answer.sink());
+    CPPUNIT_ASSERT(End.code() == wire::REFUSED);
+    CPPUNIT_ASSERT_EQUAL(std::string("upstream_unreachable"), End.reason());
+  }
+
+  // Guards against samples whose spans name the wrong version.
+  void labelsTokens() {
+    taken_answer Answer;
+    const wire::run_end End =
+        runModel("{\"token\":\"a\",\"version\":7}\n"
+                 "{\"token\":\"b\\n\",\"version\":8}\n{\"done\":true}\n",
+                 Answer);
+    CPPUNIT_ASSERT(End.code() == wire::COMPLETED);
+    CPPUNIT_ASSERT_EQUAL(std::string("ab\n"), Answer.Bytes);
+    CPPUNIT_ASSERT((Answer.Versions == std::vector<uint64_t>{7, 8}));
+  }
+
+  // Guards against samples with unknown versions, or cut short by a crash.
+  void failsWithoutLabelOrEnd() {
+    taken_answer Answer;
+    const std::string Token = "{\"token\":\"a\",\"version\":7}\n";
+    const auto Reason = [&](const std::string &Lines) {
+      const wire::run_end End = runModel(Lines, Answer);
+      CPPUNIT_ASSERT(End.code() == wire::UPSTREAM_FAILED);
+      return End.reason();
+    };
+    CPPUNIT_ASSERT_EQUAL(std::string("unlabelled"),
+                         Reason(Token + "{\"token\":\"b\"}\n"));
+    CPPUNIT_ASSERT_EQUAL(std::string("engine_failed"), Reason(Token));
+    CPPUNIT_ASSERT_EQUAL(std::string("engine_protocol"), Reason("nonsense\n"));
+  }
+
+  // Guards against cancelled calls that hold their slot.
+  void cancelEndsSilentCall() {
+    local_server Server;
+    std::atomic<bool> Reached{false};
+    std::atomic<bool> Release{false};
+    Server.Server.Get("/", [&](auto &, auto &) {
+      Reached = true;
+      while (!Release)
+        std::this_thread::sleep_for(milliseconds(5));
+    });
+    Server.start();
+    upstream_driver Driver({.Address = Server.address()});
+    wire::plain_call Call;
+    Call.set_method("GET");
+    Call.set_target("/");
+    std::thread Canceller([&] {
+      while (!Reached)
+        std::this_thread::sleep_for(milliseconds(5));
+      Driver.cancel("id");
+    });
+    taken_answer Answer;
+    CPPUNIT_ASSERT(Driver.runPlain("id", Call, Answer.sink()).code() ==
+                   wire::CANCELLED);
+    Canceller.join();
+    Release = true;
+  }
+
+  // Guards against calls that hang on an engine that has gone silent.
+  void silentUpstreamTimesOut() {
+    local_server Server;
+    Server.Server.Post("/generate", [](auto &, auto &) {
+      std::this_thread::sleep_for(milliseconds(500));
+    });
+    Server.start();
+    upstream_driver Driver(
+        {.Address = Server.address(), .ModelIdleTimeout = milliseconds(100)});
+    taken_answer Answer;
+    CPPUNIT_ASSERT(Driver.runModel("id", {}, 0, Answer.sink()).code() ==
+                   wire::UPSTREAM_FAILED);
+  }
+};
+
+CPPUNIT_TEST_SUITE_NAMED_REGISTRATION(upstream_driver_thread_test,
+                                      "upstream_driver_thread_test");
+
+} // namespace cardamom
