--- a/standins/batch_engine.h
+++ b/standins/batch_engine.h
@@ -35,16 +35,16 @@
   /// Age of what load() tells.
   milliseconds LoadLag{0};
   size_t MaxWaiting = 4096;
-  prefix_cache_options Cache;
+  prefix_cache_options Cache{};
 };
 
 struct generate_request {
-  std::string Id;
-  std::string Prompt;
+  std::string Id{};
+  std::string Prompt{};
   uint64_t MaxTokens = 16;
   /// 0 is the highest.
   int64_t Priority = 0;
-  std::string ResumeText;
+  std::string ResumeText{};
   uint64_t ResumeTokens = 0;
 };
 
@@ -77,15 +77,15 @@
 };
 
 struct run_summary {
-  std::string Id;
+  std::string Id{};
   uint64_t Tokens = 0;
   run_end End = run_end::Running;
 };
 
 struct load_order {
-  std::string Model;
+  std::string Model{};
   uint64_t Version = 0;
-  std::string Source;
+  std::string Source{};
   uint64_t Fence = 0;
   bool Accepted = false;
 };
--- a/standins/standin_trainer.cpp
+++ b/standins/standin_trainer.cpp
@@ -47,8 +47,7 @@
 drawn_sample readSample(const json &Body) {
   drawn_sample Sample{.Group = Body.at("group").get<uint64_t>(),
                       .Index = Body.at("index").get<uint64_t>(),
-                      .Text = Body.at("text").get<std::string>(),
-                      .Spans = {}};
+                      .Text = Body.at("text").get<std::string>()};
   for (const json &Span : Body.at("spans"))
     Sample.Spans.push_back({Span.at("version").get<uint64_t>(),
                             Span.at("tokens").get<uint64_t>()});
@@ -119,14 +118,15 @@
   void callUntilOk(const std::string &Method, const std::string &Path,
                    const std::string &Body) {
     time_point GiveUp = deadline();
+    std::string What = Method;
+    What += " " + Path;
     while (true) {
       entry_answer Answer = Caller.call(Method, Path, Body);
       if (Answer.Status >= 200 && Answer.Status < 300)
         return;
       if (Answer.Status == 400 || Answer.Status == 413)
-        throw std::runtime_error(Method + " " + Path +
-                                 " was refused: " + Answer.Body);
-      tryNextEntry(Method + " " + Path, Answer, GiveUp);
+        throw std::runtime_error(What + " was refused: " + Answer.Body);
+      tryNextEntry(What, Answer, GiveUp);
     }
   }
 
--- a/standins/step_tally.h
+++ b/standins/step_tally.h
@@ -34,7 +34,7 @@
   uint64_t Group = 0;
   uint64_t Index = 0;
   std::string Text;
-  std::vector<version_span> Spans;
+  std::vector<version_span> Spans{};
 };
 
 struct step_result {
