--- a/store/store_client.cpp
+++ b/store/store_client.cpp
@@ -71,7 +71,8 @@
   Result.Status = NotSent || Kind == call_kind::Read ? store_status::Unavailable
                                                      : store_status::Unknown;
   Result.Message = "no answer: " + httplib::to_string(Error);
-  Result.RetryAfter = DefaultRetryAfter;
+  if (Result.Status == store_status::Unavailable)
+    Result.RetryAfter = DefaultRetryAfter;
   return Result;
 }
 
--- a/store/test_store.h
+++ b/store/test_store.h
@@ -15,6 +15,7 @@
 #include <nlohmann/json.hpp>
 #include <string>
 #include <thread>
+#include <vector>
 
 namespace cardamom {
 
@@ -25,6 +26,9 @@
   LoseAnswer,
   /// It is lost before it takes effect.
   LoseRequest,
+  /// The answer is lost at once; the write is tried only when the next one
+  /// arrives, or in flushDelayed().
+  DelayEffect,
 };
 
 class test_store {
@@ -66,12 +70,21 @@
   /// Runs before the Nth write, without a lock. Set before the first call.
   std::function<void(unsigned)> BeforeWrite;
 
+  /// Runs after the Nth write that took effect, before its answer.
+  std::function<void(unsigned)> AfterWrite;
+
   /// Changes an object as another client would.
   uint64_t overwrite(const std::string &Key, const std::string &Value) {
     std::lock_guard Lock(Mutex);
     return store(Key, Value);
   }
 
+  /// Tries the writes that are still delayed.
+  void flushDelayed() {
+    std::lock_guard Lock(Mutex);
+    tryDelayed();
+  }
+
   std::string value(const std::string &Key) {
     std::lock_guard Lock(Mutex);
     return Objects[Key].Value;
@@ -187,21 +200,54 @@
     const write_fault Kind = Fault ? Fault(Index) : write_fault::None;
     if (Kind == write_fault::LoseRequest)
       return breakOff(Response);
-    const std::string Key = Request.matches[1];
-    const uint64_t IfVersion =
-        std::stoull(Request.get_param_value("if_version"));
-    std::lock_guard Lock(Mutex);
-    const auto It = Objects.find(Key);
-    const uint64_t Present = It == Objects.end() ? 0 : It->second.Version;
-    if (Present != IfVersion)
-      return answer(Response, 409, {{"version", Present}});
-    if (Request.method == "DELETE")
-      Objects.erase(Key);
-    else
-      store(Key, Request.body);
+    const pending_write Write{
+        .Key = Request.matches[1],
+        .Value = Request.body,
+        .IfVersion = std::stoull(Request.get_param_value("if_version")),
+        .IsDelete = Request.method == "DELETE"};
+    std::unique_lock Lock(Mutex);
+    tryDelayed();
+    if (Kind == write_fault::DelayEffect) {
+      Delayed.push_back(Write);
+      return breakOff(Response);
+    }
+    if (!tryWrite(Write))
+      return answer(Response, 409, {{"version", present(Write.Key)}});
+    const uint64_t Version = LastVersion;
+    Lock.unlock();
+    if (AfterWrite)
+      AfterWrite(Index);
     if (Kind == write_fault::LoseAnswer)
       return breakOff(Response);
-    answer(Response, 200, {{"version", LastVersion}});
+    answer(Response, 200, {{"version", Version}});
+  }
+
+  struct pending_write {
+    std::string Key;
+    std::string Value;
+    uint64_t IfVersion;
+    bool IsDelete;
+  };
+
+  uint64_t present(const std::string &Key) {
+    const auto It = Objects.find(Key);
+    return It == Objects.end() ? 0 : It->second.Version;
+  }
+
+  bool tryWrite(const pending_write &Write) {
+    if (present(Write.Key) != Write.IfVersion)
+      return false;
+    if (Write.IsDelete)
+      Objects.erase(Write.Key);
+    else
+      store(Write.Key, Write.Value);
+    return true;
+  }
+
+  void tryDelayed() {
+    for (const pending_write &Write : Delayed)
+      tryWrite(Write);
+    Delayed.clear();
   }
 
   httplib::Server Server;
@@ -212,6 +258,7 @@
   std::condition_variable Changed;
   std::map<std::string, object> Objects;
   uint64_t LastVersion = 0;
+  std::vector<pending_write> Delayed;
 };
 
 } // namespace cardamom
