--- /dev/null
+++ b/agent/agent_documents.cpp
@@ -0,0 +1,123 @@
+#include "agent/agent_documents.h"
+
+#include "inner/gen/messages.pb.h"
+
+#include <nlohmann/json.hpp>
+
+#include <utility>
+
+namespace cardamom {
+
+using json = nlohmann::json;
+
+static constexpr std::string_view WeightsPrefix = "weights/";
+
+agent_documents::agent_documents(agent_documents_options Options)
+    : Options(std::move(Options)),
+      Settings(std::make_shared<upstream_settings>()),
+      Exchange({.Validate = validate,
+                .OnInstall = [this](const versioned_document &Document) {
+                  install(Document);
+                }}) {}
+
+std::string
+upstream_settings::routeRefusal(const wire::run_request &Request) const {
+  if (!Asset)
+    return "not_in_inventory";
+  if (Request.has_model()) {
+    const bool Fits = Asset->Kind == asset_kind::Model &&
+                      Asset->Pool == Request.model().model();
+    return Fits ? "" : "wrong_model";
+  }
+  const std::string &Target = Request.plain().target();
+  const route_rule *Route =
+      Config->findRoute(std::string_view(Target).substr(0, Target.find('?')));
+  if (Route == nullptr)
+    return "no_route";
+  const bool Fits =
+      Asset->Kind == asset_kind::Plain && Asset->Pool == Route->Pool;
+  return Fits ? "" : "wrong_pool";
+}
+
+std::set<std::string> agent_documents::parseLeaving(const std::string &Text) {
+  std::set<std::string> Leaving;
+  const json Object = json::parse(Text);
+  for (const json &Vm : Object.at("vms"))
+    if (Vm.at("state") == "leaving")
+      Leaving.insert(Vm.at("vm").get<std::string>());
+  return Leaving;
+}
+
+agent_documents::trainer_weights
+agent_documents::parseWeights(const std::string &Text) {
+  const json Object = json::parse(Text);
+  return {Object.at("trainer").get<std::string>(),
+          {Object.at("model").get<std::string>(),
+           Object.at("version").get<uint64_t>(),
+           Object.at("source").get<std::string>()}};
+}
+
+void agent_documents::validate(const versioned_document &Document) {
+  if (Document.Name == "config")
+    (void)parseConfigurationDocument(Document.Body, Document.Version);
+  else if (Document.Name == "vms")
+    (void)parseLeaving(Document.Body);
+  else if (Document.Name.starts_with(WeightsPrefix))
+    (void)parseWeights(Document.Body);
+}
+
+void agent_documents::install(const versioned_document &Document) {
+  if (Document.Name == "config") {
+    auto New = std::make_shared<const configuration>(
+        parseConfigurationDocument(Document.Body, Document.Version));
+    std::lock_guard Lock(Mutex);
+    Config = std::move(New);
+    Settings = derive();
+  } else if (Document.Name == "vms") {
+    auto New = parseLeaving(Document.Body);
+    std::lock_guard Lock(Mutex);
+    LeavingVms = std::move(New);
+    Settings = derive();
+  } else if (Document.Name.starts_with(WeightsPrefix)) {
+    trainer_weights New = parseWeights(Document.Body);
+    std::lock_guard Lock(Mutex);
+    WeightsByTrainer[New.Trainer] = std::move(New.Order);
+    Settings = derive();
+  }
+  if (Options.OnChange)
+    Options.OnChange();
+}
+
+std::shared_ptr<const upstream_settings> agent_documents::derive() const {
+  auto New = std::make_shared<upstream_settings>();
+  New->Config = Config;
+  if (!Config)
+    return New;
+  if (const asset *Found = Config->findAsset(Options.Name))
+    New->Asset = *Found;
+  New->Retiring = Config->isRetiring(Options.Name);
+  if (const upstream_rule *Rule = Config->findUpstream(Options.Name))
+    New->ChecksFence = Rule->ChecksFence;
+  if (!New->Asset)
+    return New;
+  New->VmLeaving = LeavingVms.contains(New->Asset->Vm);
+  // An engine holds the weights of one trainer: the first by priority.
+  unsigned Best = 0;
+  for (const trainer_rule &Trainer : Config->Trainers) {
+    const auto It = WeightsByTrainer.find(Trainer.Name);
+    if (It == WeightsByTrainer.end() || It->second.Model != New->Asset->Pool)
+      continue;
+    if (New->Weights && Trainer.Priority >= Best)
+      continue;
+    Best = Trainer.Priority;
+    New->Weights = It->second;
+  }
+  return New;
+}
+
+std::shared_ptr<const upstream_settings> agent_documents::settings() const {
+  std::lock_guard Lock(Mutex);
+  return Settings;
+}
+
+} // namespace cardamom
--- /dev/null
+++ b/agent/answer_streams.cpp
@@ -0,0 +1,137 @@
+#include "agent/answer_streams.h"
+
+#include "base/metrics.h"
+#include "inner/server_stream.h"
+
+#include <utility>
+
+namespace cardamom {
+
+static constexpr size_t ChunkBytes = size_t(64) << 10;
+static constexpr size_t MaxPendingBytes = size_t(256) << 10;
+
+struct answer_streams::reader {
+  std::string Id;
+  uint64_t Token = 0;
+  std::shared_ptr<server_stream> Stream;
+  /// Held while the reader is pumped; guards the members below.
+  std::mutex Mutex;
+  run_cursor Cursor;
+  bool Done = false;
+};
+
+answer_streams::answer_streams(run_table &Table) : Table(Table) {}
+answer_streams::~answer_streams() = default;
+
+void sendEnd(server_stream &Stream, const wire::run_end &End) {
+  wire::run_event Event;
+  *Event.mutable_end() = End;
+  Stream.send(Event.SerializeAsString());
+  Stream.finish();
+}
+
+wire::run_end refusal(std::string_view Reason, std::string_view Message,
+                      milliseconds RetryAfter) {
+  metrics::get().counter("requests_refused_total", "reason", Reason).add();
+  wire::run_end End;
+  End.set_code(wire::REFUSED);
+  End.set_reason(std::string(Reason));
+  End.set_message(std::string(Message));
+  End.set_retry_after_ms(uint32_t(RetryAfter.count()));
+  return End;
+}
+
+void answer_streams::attach(std::shared_ptr<server_stream> Stream,
+                            std::string_view Id, uint64_t Offset,
+                            time_point Now) {
+  const auto Token = Table.attach(Id, Now);
+  if (!Token) {
+    const bool Gone = Table.query(Id) == wire::FINISHED_ANSWER_GONE;
+    wire::run_end End;
+    End.set_code(Gone ? wire::ANSWER_GONE : wire::RUN_UNKNOWN);
+    End.set_reason(Gone ? "answer_gone" : "run_unknown");
+    sendEnd(*Stream, End);
+    return;
+  }
+  auto Reader = std::make_shared<reader>();
+  Reader->Id = Id;
+  Reader->Token = *Token;
+  Reader->Stream = std::move(Stream);
+  Reader->Cursor.Offset = Offset;
+  std::shared_ptr<reader> Former;
+  {
+    std::lock_guard Lock(Mutex);
+    Former = std::exchange(Readers[Reader->Id], Reader);
+  }
+  if (Former)
+    Former->Stream->finish();
+  // Weak: the hooks live in the stream that the reader owns.
+  const std::weak_ptr<reader> Weak = Reader;
+  Reader->Stream->onWritable([this, Weak] {
+    if (const auto Locked = Weak.lock())
+      pump(*Locked);
+  });
+  Reader->Stream->onClose([this, Weak] {
+    if (const auto Locked = Weak.lock())
+      drop(Locked);
+  });
+  pump(*Reader);
+}
+
+void answer_streams::drop(const std::shared_ptr<reader> &Reader) {
+  Table.detach(Reader->Id, Reader->Token, steady_clock::now());
+  std::lock_guard Lock(Mutex);
+  const auto It = Readers.find(Reader->Id);
+  if (It != Readers.end() && It->second == Reader)
+    Readers.erase(It);
+}
+
+void answer_streams::wake(std::string_view Id) {
+  std::shared_ptr<reader> Reader;
+  {
+    std::lock_guard Lock(Mutex);
+    const auto It = Readers.find(Id);
+    if (It == Readers.end())
+      return;
+    Reader = It->second;
+  }
+  pump(*Reader);
+}
+
+bool answer_streams::sendChunk(reader &Reader) {
+  run_chunk Chunk =
+      Table.read(Reader.Id, Reader.Token, Reader.Cursor, ChunkBytes);
+  wire::run_event Event;
+  const auto Send = [&] { Reader.Stream->send(Event.SerializeAsString()); };
+  if (Chunk.Head) {
+    *Event.mutable_head() = std::move(*Chunk.Head);
+    Send();
+  }
+  if (!Chunk.Bytes.empty()) {
+    Event.mutable_data()->set_offset(Chunk.Offset);
+    Event.mutable_data()->set_bytes(std::move(Chunk.Bytes));
+    Send();
+  }
+  for (wire::version_span &Span : Chunk.Spans) {
+    *Event.mutable_span() = std::move(Span);
+    Send();
+  }
+  if (Chunk.State == run_chunk::state::Ended) {
+    *Event.mutable_end() = std::move(*Chunk.End);
+    Send();
+  }
+  if (Chunk.State != run_chunk::state::Open) {
+    Reader.Stream->finish();
+    Reader.Done = true;
+  }
+  return Event.body_case() != wire::run_event::BODY_NOT_SET;
+}
+
+void answer_streams::pump(reader &Reader) {
+  std::lock_guard Lock(Reader.Mutex);
+  while (!Reader.Done && Reader.Stream->pendingBytes() < MaxPendingBytes)
+    if (!sendChunk(Reader))
+      break;
+}
+
+} // namespace cardamom
--- /dev/null
+++ b/agent/answer_streams.h
@@ -0,0 +1,61 @@
+/// \file
+/// Sends the answers of runs to the peers that are attached to them.
+///
+/// Use:
+///   answer_streams Streams(Table);
+///   Streams.attach(Stream, Id, Offset, Now); // a run_event stream follows
+///   Streams.wake(Id);                        // the run has changed
+///
+/// A stream is given no more than 256 KiB beyond what its socket has taken;
+/// the rest stays in the run table. Thread-safe; never blocks on a peer.
+
+#ifndef CARDAMOM_AGENT_ANSWER_STREAMS_H
+#define CARDAMOM_AGENT_ANSWER_STREAMS_H
+
+#include "agent/run_table.h"
+#include "base/time.h"
+
+#include <cstdint>
+#include <map>
+#include <memory>
+#include <mutex>
+#include <string>
+#include <string_view>
+
+namespace cardamom {
+
+class server_stream;
+
+class answer_streams {
+public:
+  explicit answer_streams(run_table &Table);
+  ~answer_streams();
+
+  /// Makes the stream the reader of the run, from Offset on. Each reader gets
+  /// the head and all spans anew. Answers RUN_UNKNOWN or ANSWER_GONE when
+  /// there is no record.
+  void attach(std::shared_ptr<server_stream> Stream, std::string_view Id,
+              uint64_t Offset, time_point Now);
+  void wake(std::string_view Id);
+
+private:
+  struct reader;
+
+  void pump(reader &Reader);
+  bool sendChunk(reader &Reader);
+  void drop(const std::shared_ptr<reader> &Reader);
+
+  run_table &Table;
+  std::mutex Mutex;
+  std::map<std::string, std::shared_ptr<reader>, std::less<>> Readers;
+};
+
+/// Sends an end as the only event of a stream.
+void sendEnd(server_stream &Stream, const wire::run_end &End);
+/// Makes a REFUSED end and counts it in requests_refused_total.
+wire::run_end refusal(std::string_view Reason, std::string_view Message,
+                      milliseconds RetryAfter);
+
+} // namespace cardamom
+
+#endif // CARDAMOM_AGENT_ANSWER_STREAMS_H
--- /dev/null
+++ b/agent/pause_guard.cpp
@@ -0,0 +1,43 @@
+#include "agent/pause_guard.h"
+
+#include "base/log.h"
+
+#include <string>
+
+namespace cardamom {
+
+void pause_guard::check(time_point Now) {
+  const auto Gap = Now - LastTick;
+  if (Gap <= MaxTickGap)
+    return;
+  logState(
+      "pause_detected",
+      {{"gap_ms", std::to_string(
+                      std::chrono::duration_cast<milliseconds>(Gap).count())}});
+  ResumedAt = Now;
+  LastTick = Now;
+}
+
+void pause_guard::onTick(time_point Now) {
+  std::lock_guard Lock(Mutex);
+  check(Now);
+  LastTick = Now;
+  if (ResumedAt && Now - *ResumedAt >= ConfirmTimeout)
+    ResumedAt.reset();
+}
+
+void pause_guard::onPeerVersion(uint64_t Theirs, uint64_t Ours,
+                                time_point Now) {
+  std::lock_guard Lock(Mutex);
+  check(Now);
+  if (ResumedAt && Now - *ResumedAt >= BufferedTime && Theirs <= Ours)
+    ResumedAt.reset();
+}
+
+bool pause_guard::admits(time_point Now) {
+  std::lock_guard Lock(Mutex);
+  check(Now);
+  return !ResumedAt || Now - *ResumedAt >= ConfirmTimeout;
+}
+
+} // namespace cardamom
--- /dev/null
+++ b/agent/pause_guard_test.cpp
@@ -0,0 +1,42 @@
+#include "agent/pause_guard.h"
+
+#include <cppunit/extensions/HelperMacros.h>
+
+namespace cardamom {
+
+class pause_guard_test : public CppUnit::TestFixture {
+  CPPUNIT_TEST_SUITE(pause_guard_test);
+  CPPUNIT_TEST(holdsBackAfterPause);
+  CPPUNIT_TEST_SUITE_END();
+
+public:
+  // Guards against work that is admitted under a configuration which changed
+  // while the process was paused, and against waiting for ever.
+  void holdsBackAfterPause() {
+    time_point Now;
+    pause_guard Guard(Now);
+    Now += milliseconds(2000);
+    CPPUNIT_ASSERT(Guard.admits(Now));
+    Guard.onTick(Now);
+    Now += milliseconds(5000);
+    CPPUNIT_ASSERT(!Guard.admits(Now));
+    // Read from the socket's buffer: sent before the pause.
+    Guard.onPeerVersion(3, 3, Now + milliseconds(10));
+    CPPUNIT_ASSERT(!Guard.admits(Now + milliseconds(10)));
+    Guard.onPeerVersion(4, 3, Now + milliseconds(400));
+    CPPUNIT_ASSERT(!Guard.admits(Now + milliseconds(400)));
+    Guard.onPeerVersion(4, 4, Now + milliseconds(500));
+    CPPUNIT_ASSERT(Guard.admits(Now + milliseconds(500)));
+    Guard.onTick(Now + milliseconds(500));
+    Now += milliseconds(9000);
+    Guard.onTick(Now);
+    Guard.onTick(Now + milliseconds(1000));
+    CPPUNIT_ASSERT(!Guard.admits(Now + milliseconds(1000)));
+    Guard.onTick(Now + milliseconds(2000));
+    CPPUNIT_ASSERT(Guard.admits(Now + milliseconds(2000)));
+  }
+};
+
+CPPUNIT_TEST_SUITE_NAMED_REGISTRATION(pause_guard_test, "pause_guard_test");
+
+} // namespace cardamom
--- /dev/null
+++ b/agent/run_executor.cpp
@@ -0,0 +1,364 @@
+#include "agent/run_executor.h"
+
+#include "agent/answer_streams.h"
+#include "base/metrics.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace cardamom {
+
+/// Pause between tries to append to an answer that is full.
+static constexpr milliseconds AppendRetry{10};
+/// Closing a ring ends the wait at once.
+static constexpr milliseconds IdleWait{60000};
+static constexpr milliseconds RateInterval{1000};
+static constexpr milliseconds MinRetryAfter{50};
+
+static work_class toWorkClass(wire::request_class Class) {
+  switch (Class) {
+  case wire::TRAINER_FIRST:
+    return work_class::TrainerFirst;
+  case wire::TRAINER_SECOND:
+    return work_class::TrainerSecond;
+  default:
+    return work_class::Live;
+  }
+}
+
+run_executor::run_executor(run_executor_options Options)
+    : Options(std::move(Options)), Admission(this->Options.Admission),
+      Ready(this->Options.MaxWorkers), Cancels(1024) {
+  setSlots(this->Options.Admission.Slots);
+}
+
+run_executor::~run_executor() { stop(); }
+
+void run_executor::start() {
+  Canceller = std::thread([this] { cancelLoop(); });
+}
+
+void run_executor::stop() {
+  Stopping = true;
+  Ready.close();
+  for (const std::string &Id : activeRuns())
+    Cancels.tryPush(std::string(Id));
+  std::vector<std::thread> Joined;
+  {
+    std::lock_guard Lock(Mutex);
+    Joined.swap(Workers);
+  }
+  for (std::thread &Worker : Joined)
+    Worker.join();
+  Cancels.close();
+  if (Canceller.joinable())
+    Canceller.join();
+}
+
+void run_executor::setSlots(unsigned Slots) {
+  std::lock_guard Lock(Mutex);
+  Admission.setSlots(std::min(Slots, Options.MaxWorkers));
+  dispatch(steady_clock::now());
+}
+
+wire::run_end run_executor::refuse(std::string_view Reason,
+                                   std::string_view Message) const {
+  std::unique_lock Lock(Mutex);
+  const milliseconds Service(int64_t(Admission.serviceMs()));
+  Lock.unlock();
+  return refusal(Reason, Message, std::max(MinRetryAfter, Service));
+}
+
+void run_executor::submit(wire::run_request Request, time_point Now) {
+  const std::string Id = Request.request_id();
+  const milliseconds Remaining(Request.remaining_ms());
+  const admission_request Wanted = {.Id = Id,
+                                    .Class = toWorkClass(Request.class_()),
+                                    .Remaining = Remaining,
+                                    .Preemptible = Request.idempotent() &&
+                                                   Request.has_model()};
+  wire::run_end End;
+  if (engineRefuses(Request, End)) {
+    Options.Table->finish(Id, std::move(End), Now);
+    return;
+  }
+  std::unique_lock Lock(Mutex);
+  const admission_refusal Refusal = Admission.offer(Wanted, Now);
+  if (Refusal == admission_refusal::None) {
+    job &Job = Jobs[Id];
+    Job.Request = std::move(Request);
+    Job.Deadline =
+        Remaining > milliseconds(0) ? Now + Remaining : time_point::max();
+    dispatch(Now);
+  }
+  Lock.unlock();
+  if (Refusal == admission_refusal::QueueFull)
+    Options.Table->finish(Id, refuse("queue_full", "the queue is full"), Now);
+  else if (Refusal == admission_refusal::DeadlineUnreachable)
+    Options.Table->finish(
+        Id,
+        refuse("deadline_unreachable", "the wait would exceed the deadline"),
+        Now);
+  if (Options.OnLoadChange)
+    Options.OnLoadChange();
+}
+
+void run_executor::dispatch(time_point Now) {
+  while (auto Id = Admission.next(Now)) {
+    Jobs.at(*Id).Active = true;
+    if (!Stopping && Workers.size() < Admission.active())
+      Workers.emplace_back([this] { work(); });
+    Ready.tryPush(std::move(*Id));
+  }
+  while (const auto Victim = Admission.pickPreempted()) {
+    job &Job = Jobs.at(*Victim);
+    Job.Preempted = true;
+    Job.CancelReason = "preempted";
+    metrics::get().counter("runs_preempted_total").add();
+    Cancels.tryPush(std::string(*Victim));
+  }
+}
+
+void run_executor::work() {
+  while (!Ready.closed() || Ready.size() > 0)
+    if (const auto Id = Ready.pop(IdleWait))
+      run(*Id);
+}
+
+void run_executor::run(const std::string &Id) {
+  std::unique_lock Lock(Mutex);
+  const wire::run_request Request = Jobs.at(Id).Request;
+  Lock.unlock();
+  if (Options.OnLoadChange)
+    Options.OnLoadChange();
+  conclude(Id, execute(Id, Request));
+}
+
+void run_executor::conclude(const std::string &Id, wire::run_end End) {
+  const time_point Now = steady_clock::now();
+  const bool Completed = End.code() == wire::COMPLETED;
+  {
+    std::lock_guard Lock(Mutex);
+    const job &Job = Jobs.at(Id);
+    if (End.code() == wire::CANCELLED && !Job.CancelReason.empty()) {
+      End.set_reason(Job.CancelReason);
+      if (Job.Preempted)
+        End.set_code(wire::PREEMPTED);
+    }
+    Jobs.erase(Id);
+  }
+  metrics::get()
+      .counter("runs_ended_total", "code", wire::run_end_code_Name(End.code()))
+      .add();
+  Options.Table->finish(Id, std::move(End), Now);
+  {
+    std::lock_guard Lock(Mutex);
+    Admission.onFinish(Id, Completed, Now);
+    dispatch(Now);
+  }
+  if (Options.OnLoadChange)
+    Options.OnLoadChange();
+}
+
+bool run_executor::stopped(const std::string &Id,
+                           const wire::run_request &Request,
+                           wire::run_end &End) {
+  std::unique_lock Lock(Mutex);
+  const job &Job = Jobs.at(Id);
+  const bool Cancelled = !Job.CancelReason.empty();
+  const bool Late = Job.Deadline <= steady_clock::now();
+  Lock.unlock();
+  if (Cancelled) {
+    End.set_code(wire::CANCELLED);
+    return true;
+  }
+  if (Late) {
+    End = refuse("deadline_unreachable", "the deadline passed in the queue");
+    return true;
+  }
+  return engineRefuses(Request, End);
+}
+
+bool run_executor::engineRefuses(const wire::run_request &Request,
+                                 wire::run_end &End) const {
+  if (!Request.has_model() || !Options.Observed)
+    return false;
+  const observed_engine Engine = Options.Observed();
+  if (!Engine.Ready) {
+    End = refuse("upstream_not_ready", "the engine's state is unknown or its "
+                                       "last weight swap failed");
+    return true;
+  }
+  if (Engine.Status.Version >= Request.model().min_version())
+    return false;
+  End = refuse("version_too_old", "the engine has weight version " +
+                                      std::to_string(Engine.Status.Version));
+  return true;
+}
+
+wire::run_end run_executor::execute(const std::string &Id,
+                                    const wire::run_request &Request) {
+  wire::run_end End;
+  if (stopped(Id, Request, End))
+    return End;
+  if (Request.idempotent() || Request.idempotency_key().empty())
+    return executeClaimed(Id, Request);
+  const claim_request Claim = {Request.has_model() ? Request.model().model()
+                                                   : Request.plain().route(),
+                               Request.idempotency_key(), Id};
+  const claim_result Result = Options.Ledger->claim(Claim);
+  switch (Result.Status) {
+  case claim_status::Granted:
+    break;
+  case claim_status::Claimed:
+    End.set_code(wire::KEY_CLAIMED);
+    End.set_reason("key_claimed");
+    End.set_holder_agent(Result.Holder.Agent);
+    End.set_holder_incarnation(Result.Holder.Incarnation);
+    End.set_holder_request_id(Result.Holder.RequestId);
+    return End;
+  case claim_status::StoreUnavailable:
+    return refusal("store_unavailable", "the key could not be claimed",
+                   Result.RetryAfter);
+  case claim_status::LedgerFull:
+    return refusal("ledger_full", "too many keys are claimed",
+                   Result.RetryAfter);
+  }
+  End = executeClaimed(Id, Request);
+  // Before the refusal is known, so that another try finds the key free.
+  if (End.code() == wire::REFUSED)
+    Options.Ledger->release(Claim);
+  return End;
+}
+
+wire::run_end run_executor::executeClaimed(const std::string &Id,
+                                           const wire::run_request &Request) {
+  wire::run_end End;
+  if (stopped(Id, Request, End))
+    return End;
+  if (!Options.Table->start(Id)) {
+    End.set_code(wire::CANCELLED);
+    return End;
+  }
+  return call(Id, Request);
+}
+
+bool run_executor::keep(const std::string &Id, std::string_view Bytes) {
+  const time_point Limit = steady_clock::now() + Options.AnswerWait;
+  while (true) {
+    const append_result Result = Options.Table->append(Id, Bytes);
+    if (Result != append_result::Full)
+      return Result == append_result::Ok;
+    if (Stopping || steady_clock::now() >= Limit)
+      return false;
+    std::this_thread::sleep_for(AppendRetry);
+  }
+}
+
+wire::run_end run_executor::call(const std::string &Id,
+                                 const wire::run_request &Request) {
+  const run_sink Sink = {
+      .OnHead =
+          [&](wire::response_head Head) {
+            Options.Table->setHead(Id, std::move(Head));
+          },
+      .OnBytes = [&](std::string_view Bytes) { return keep(Id, Bytes); },
+      .OnToken =
+          [&](uint64_t Version) {
+            Options.Table->addToken(Id, Version);
+            Tokens.fetch_add(1, std::memory_order_relaxed);
+          }};
+  wire::run_end End =
+      Request.has_model()
+          ? Options.Driver->runModel(Id, Request.model(),
+                                     unsigned(Request.class_()), Sink)
+          : Options.Driver->runPlain(Id, Request.plain(), Sink);
+  if (End.code() == wire::REFUSED)
+    End = refuse(End.reason(), End.message());
+  const bool Failed =
+      End.code() == wire::REFUSED || End.code() == wire::UPSTREAM_FAILED;
+  if (Failed && Request.has_model() && Options.OnEngineFailure)
+    Options.OnEngineFailure();
+  return End;
+}
+
+void run_executor::cancel(std::string_view Id, std::string_view Reason,
+                          time_point Now) {
+  {
+    std::lock_guard Lock(Mutex);
+    const auto It = Jobs.find(Id);
+    if (It == Jobs.end())
+      return;
+    job &Job = It->second;
+    if (Job.Active) {
+      if (!Job.Request.idempotent() || !Job.CancelReason.empty())
+        return;
+      Job.CancelReason = Reason.empty() ? "cancelled" : Reason;
+      Cancels.tryPush(std::string(Id));
+      return;
+    }
+    Admission.remove(Id);
+    Jobs.erase(It);
+  }
+  wire::run_end End;
+  End.set_code(wire::CANCELLED);
+  End.set_reason(std::string(Reason));
+  Options.Table->finish(Id, std::move(End), Now);
+  if (Options.OnLoadChange)
+    Options.OnLoadChange();
+}
+
+void run_executor::cancelLoop() {
+  while (!Cancels.closed() || Cancels.size() > 0)
+    if (const auto Id = Cancels.pop(IdleWait))
+      Options.Driver->cancel(*Id);
+}
+
+void run_executor::tick(time_point Now) {
+  std::vector<std::string> Expired;
+  {
+    std::lock_guard Lock(Mutex);
+    Expired = Admission.expire(Now);
+    for (const std::string &Id : Expired)
+      Jobs.erase(Id);
+    // A cancellation is lost when the call was not open yet.
+    for (const auto &[Id, Job] : Jobs)
+      if (Job.Active && !Job.CancelReason.empty())
+        Cancels.tryPush(std::string(Id));
+    if (Now - RateSince >= RateInterval) {
+      const std::chrono::duration<double> Elapsed = Now - RateSince;
+      const uint64_t Count = Tokens;
+      TokensPerSecond = double(Count - TokensBefore) / Elapsed.count();
+      TokensBefore = Count;
+      RateSince = Now;
+    }
+  }
+  for (const std::string &Id : Expired)
+    Options.Table->finish(
+        Id, refuse("deadline_unreachable", "the deadline passed in the queue"),
+        Now);
+}
+
+void run_executor::fillLoad(wire::load_report &Load) const {
+  std::lock_guard Lock(Mutex);
+  Load.set_running(uint32_t(Admission.active()));
+  Load.set_queued_live(uint32_t(Admission.waiting(work_class::Live)));
+  Load.set_queued_trainer_first(
+      uint32_t(Admission.waiting(work_class::TrainerFirst)));
+  Load.set_queued_trainer_second(
+      uint32_t(Admission.waiting(work_class::TrainerSecond)));
+  Load.set_slots(Admission.slots());
+  Load.set_service_ms(Admission.serviceMs());
+  Load.set_tokens_per_second(TokensPerSecond);
+}
+
+std::vector<std::string> run_executor::activeRuns() const {
+  std::lock_guard Lock(Mutex);
+  std::vector<std::string> Ids;
+  for (const auto &[Id, Job] : Jobs)
+    if (Job.Active)
+      Ids.push_back(Id);
+  return Ids;
+}
+
+} // namespace cardamom
--- /dev/null
+++ b/agent/run_executor_thread_test.cpp
@@ -0,0 +1,219 @@
+#include "agent/run_executor.h"
+
+#include <cppunit/extensions/HelperMacros.h>
+#include <httplib.h>
+
+#include <functional>
+#include <optional>
+
+// <httplib.h> includes a header of the resolver that defines this macro.
+#undef REFUSED
+
+namespace cardamom {
+
+namespace {
+/// An upstream whose calls last until they are released or cancelled, and a
+/// store of one object.
+struct executor_world {
+  httplib::Server Server;
+  std::thread ServerThread;
+  std::atomic<int> Calls{0};
+  std::atomic<bool> Release{false};
+  std::atomic<bool> StoreUp{true};
+  std::atomic<int> Puts{0};
+  std::atomic<bool> EngineReady{true};
+  run_table Table{{}};
+  std::optional<upstream_driver> Driver;
+  std::optional<key_ledger> Ledger;
+  std::optional<run_executor> Executor;
+
+  explicit executor_world(unsigned Slots, bool Listening = true) {
+    const auto Wait = [this](const httplib::Request &Request,
+                             httplib::Response &Response) {
+      ++Calls;
+      while (!Release)
+        std::this_thread::sleep_for(milliseconds(2));
+      Response.set_content("{\"done\":true}\n", "text/plain");
+    };
+    Server.Post(".*", Wait);
+    const int Port = Server.bind_to_any_port("127.0.0.1");
+    if (Listening)
+      ServerThread = std::thread([this] { Server.listen_after_bind(); });
+    else
+      Server.stop();
+    Driver.emplace(upstream_driver_options{
+        .Address = "127.0.0.1:" + std::to_string(Listening ? Port : 1)});
+    Ledger.emplace(ledgerOptions());
+    Executor.emplace(run_executor_options{
+        .Table = &Table,
+        .Driver = &*Driver,
+        .Ledger = &*Ledger,
+        .Admission = {.Slots = Slots, .QueueBounds = {2, 2, 2}},
+        .Observed = [this] {
+          return observed_engine{.Ready = EngineReady, .Known = true};
+        }});
+    Executor->start();
+  }
+  ~executor_world() {
+    Release = true;
+    Executor->stop();
+    Server.stop();
+    if (ServerThread.joinable())
+      ServerThread.join();
+  }
+
+  key_ledger_options ledgerOptions() {
+    key_ledger_options O;
+    O.Agent = "a";
+    O.Get = [this](std::string_view) -> store_result {
+      return {.Status =
+                  StoreUp ? store_status::NotFound : store_status::Unavailable};
+    };
+    O.Put = [this](std::string_view, std::string_view,
+                   uint64_t) -> store_result {
+      ++Puts;
+      return {.Status = store_status::Ok, .Version = uint64_t(Puts)};
+    };
+    O.WallSeconds = [] { return int64_t(1); };
+    return O;
+  }
+
+  void submit(const std::string &Id,
+              const std::function<void(wire::run_request &)> &Edit) {
+    wire::run_request Request;
+    Request.set_request_id(Id);
+    Request.set_idempotent(true);
+    Request.mutable_plain()->set_method("POST");
+    Request.mutable_plain()->set_target("/x");
+    Edit(Request);
+    Table.insert({.RequestId = Id, .Idempotent = Request.idempotent()},
+                 steady_clock::now());
+    Executor->submit(Request, steady_clock::now());
+  }
+  void submitPlain(const std::string &Id, const std::string &Key = {}) {
+    submit(Id, [&](wire::run_request &Request) {
+      Request.set_idempotent(Key.empty());
+      Request.set_idempotency_key(Key);
+    });
+  }
+  static bool eventually(const std::function<bool()> &Condition) {
+    const time_point Limit = steady_clock::now() + milliseconds(20000);
+    while (!Condition() && steady_clock::now() < Limit)
+      std::this_thread::sleep_for(milliseconds(5));
+    return Condition();
+  }
+  wire::run_end waitEnd(const std::string &Id) {
+    CPPUNIT_ASSERT_MESSAGE(
+        Id, eventually([&] { return Table.end(Id).has_value(); }));
+    return *Table.end(Id);
+  }
+  void waitCalls(int Count) {
+    CPPUNIT_ASSERT(eventually([&] { return Calls == Count; }));
+  }
+};
+} // namespace
+
+class run_executor_thread_test : public CppUnit::TestFixture {
+  CPPUNIT_TEST_SUITE(run_executor_thread_test);
+  CPPUNIT_TEST(limitsConcurrencyAndQueue);
+  CPPUNIT_TEST(liveRequestPreemptsTrainer);
+  CPPUNIT_TEST(cancelEndsQueuedAndIdempotentRuns);
+  CPPUNIT_TEST(keyedCallNeedsStore);
+  CPPUNIT_TEST(givesClaimBackWhenUnreachable);
+  CPPUNIT_TEST(refusesWhileEngineIsUnknown);
+  CPPUNIT_TEST_SUITE_END();
+
+public:
+  // Guards against an upstream that gets more work than it can run.
+  void limitsConcurrencyAndQueue() {
+    executor_world World(1);
+    for (const char *Id : {"a", "b", "c", "d"})
+      World.submitPlain(Id);
+    CPPUNIT_ASSERT_EQUAL(std::string("queue_full"),
+                         World.waitEnd("d").reason());
+    World.waitCalls(1);
+    World.Release = true;
+    CPPUNIT_ASSERT(World.waitEnd("c").code() == wire::COMPLETED);
+    CPPUNIT_ASSERT_EQUAL(3, World.Calls.load());
+  }
+
+  // Guards against callers who wait for a trainer's samples.
+  void liveRequestPreemptsTrainer() {
+    executor_world World(1);
+    World.submit("t", [](wire::run_request &Request) {
+      Request.set_class_(wire::TRAINER_SECOND);
+      Request.mutable_model()->set_model("m");
+    });
+    World.waitCalls(1);
+    World.submitPlain("live");
+    CPPUNIT_ASSERT(World.waitEnd("t").code() == wire::PREEMPTED);
+    World.Release = true;
+    CPPUNIT_ASSERT(World.waitEnd("live").code() == wire::COMPLETED);
+  }
+
+  // Guards against slots held for callers that are gone, and against a
+  // deposit that is broken off in the middle.
+  void cancelEndsQueuedAndIdempotentRuns() {
+    executor_world World(2);
+    World.submitPlain("running");
+    World.submitPlain("deposit", "key");
+    World.submitPlain("queued");
+    World.waitCalls(2);
+    for (const char *Id : {"running", "deposit", "queued"})
+      World.Executor->cancel(Id, "test", steady_clock::now());
+    CPPUNIT_ASSERT(World.waitEnd("queued").code() == wire::CANCELLED);
+    CPPUNIT_ASSERT(World.waitEnd("running").code() == wire::CANCELLED);
+    CPPUNIT_ASSERT(!World.Table.end("deposit").has_value());
+    World.Release = true;
+    CPPUNIT_ASSERT(World.waitEnd("deposit").code() == wire::COMPLETED);
+  }
+
+  // Guards against keyed calls that run without a claim, or twice.
+  void keyedCallNeedsStore() {
+    executor_world World(2);
+    World.Release = true;
+    World.StoreUp = false;
+    World.submitPlain("a", "key");
+    CPPUNIT_ASSERT_EQUAL(std::string("store_unavailable"),
+                         World.waitEnd("a").reason());
+    World.StoreUp = true;
+    World.submitPlain("b", "key");
+    CPPUNIT_ASSERT(World.waitEnd("b").code() == wire::COMPLETED);
+    World.submitPlain("c", "key");
+    CPPUNIT_ASSERT(World.waitEnd("c").code() == wire::KEY_CLAIMED);
+    CPPUNIT_ASSERT_EQUAL(std::string("b"),
+                         World.waitEnd("c").holder_request_id());
+    CPPUNIT_ASSERT_EQUAL(1, World.Calls.load());
+  }
+
+  // Guards against a key that is lost to a request that never ran.
+  void givesClaimBackWhenUnreachable() {
+    executor_world World(1, false);
+    World.submitPlain("a", "key");
+    CPPUNIT_ASSERT_EQUAL(std::string("upstream_unreachable"),
+                         World.waitEnd("a").reason());
+    CPPUNIT_ASSERT_EQUAL(2, World.Puts.load());
+  }
+
+  // Guards against model work for an engine whose weights are not known.
+  void refusesWhileEngineIsUnknown() {
+    executor_world World(1);
+    World.EngineReady = false;
+    World.submit("a", [](wire::run_request &Request) {
+      Request.mutable_model()->set_model("m");
+    });
+    CPPUNIT_ASSERT_EQUAL(std::string("upstream_not_ready"),
+                         World.waitEnd("a").reason());
+    World.EngineReady = true;
+    World.submit("b", [](wire::run_request &Request) {
+      Request.mutable_model()->set_min_version(1);
+    });
+    CPPUNIT_ASSERT_EQUAL(std::string("version_too_old"),
+                         World.waitEnd("b").reason());
+  }
+};
+
+CPPUNIT_TEST_SUITE_NAMED_REGISTRATION(run_executor_thread_test,
+                                      "run_executor_thread_test");
+
+} // namespace cardamom
