--- a/entry/caller_relay.cpp
+++ b/entry/caller_relay.cpp
@@ -30,6 +30,19 @@
 // Limit of one answer that is sent whole; agents keep no larger ones.
 static constexpr size_t MaxWholeAnswer = 8U << 20;
 
+static json choices(const std::string &Id, const std::string &Text) {
+  return {{"id", Id},
+          {"choices", json::array({{{"text", Text}, {"index", 0}}})}};
+}
+
+static std::string dump(const json &Object) {
+  return Object.dump(-1, ' ', false, json::error_handler_t::replace);
+}
+
+static std::string sseLine(const json &Object) {
+  return "data: " + dump(Object) + "\n\n";
+}
+
 /// One answer on its way to the caller.
 struct caller_relay::relay {
   class dispatcher &Dispatcher;
@@ -41,8 +54,8 @@
   /// First event, which decided on the status.
   std::optional<relay_event> First;
   uint64_t Version = 0;
-  /// Start of a character whose other bytes have not arrived.
-  std::string PartialCharacter;
+  /// Text that waits for its weight version or for the rest of a character.
+  std::string Text;
 
   relay(class dispatcher &Dispatcher, bool Expose, std::string RequestId,
         time_point GiveUpAt)
@@ -82,6 +95,18 @@
     return {.Kind = relay_kind::End, .Result = std::move(Result)};
   }
 
+  /// Server-sent event with the whole characters of Text; empty while the
+  /// weight version of the first token has not arrived. Last flushes the rest.
+  std::string takeLine(bool Last) {
+    const size_t Whole = Last ? Text.size() : completeUtf8(Text);
+    if (Whole == 0 || (Version == 0 && !Last))
+      return {};
+    json Line = choices(RequestId, Text.substr(0, Whole));
+    Line["weight_version"] = Version;
+    Text.erase(0, Whole);
+    return sseLine(Line);
+  }
+
   void acknowledge(const dispatch_result &Result) {
     Dispatcher.acknowledge(Result.Address, Result.RequestId);
   }
@@ -143,6 +168,7 @@
   Model.set_model(Parsed.Model);
   Model.set_prompt(Parsed.Prompt);
   Model.set_max_tokens(Parsed.MaxTokens);
+  Call.Restartable = !Parsed.Stream;
   const auto Relay = startRelay(std::move(Call), Parsed.Stream);
   if (Parsed.Stream)
     streamCompletion(Relay, Response);
@@ -150,15 +176,6 @@
     wholeCompletion(*Relay, Response);
 }
 
-static json choices(const std::string &Id, const std::string &Text) {
-  return {{"id", Id},
-          {"choices", json::array({{{"text", Text}, {"index", 0}}})}};
-}
-
-static std::string dump(const json &Object) {
-  return Object.dump(-1, ' ', false, json::error_handler_t::replace);
-}
-
 void caller_relay::wholeCompletion(relay &Relay, httplib::Response &Response) {
   std::string Text;
   while (true) {
@@ -195,11 +212,8 @@
 }
 
 static bool write(httplib::DataSink &Sink, const std::string &Text) {
-  return Sink.write(Text.data(), Text.size());
-}
-
-static std::string sseLine(const json &Object) {
-  return "data: " + dump(Object) + "\n\n";
+  // An empty chunk would end a chunked body.
+  return Text.empty() || Sink.write(Text.data(), Text.size());
 }
 
 void caller_relay::streamCompletion(const std::shared_ptr<relay> &Relay,
@@ -221,28 +235,20 @@
   Response.set_chunked_content_provider(
       "text/event-stream", [Relay](size_t, httplib::DataSink &Sink) {
         const relay_event Next = Relay->next(Sink.is_writable);
-        switch (Next.Kind) {
-        case relay_kind::Span:
+        if (Next.Kind == relay_kind::Span) {
           Relay->Version = Next.Span.Version;
-          return true;
-        case relay_kind::Data: {
-          std::string Text = std::exchange(Relay->PartialCharacter, {});
-          Text += Next.Bytes;
-          const size_t Whole = completeUtf8(Text);
-          Relay->PartialCharacter = Text.substr(Whole);
-          Text.resize(Whole);
-          if (Text.empty())
-            return true;
-          json Line = choices(Relay->RequestId, Text);
-          Line["weight_version"] = Relay->Version;
-          return write(Sink, sseLine(Line));
+          return write(Sink, Relay->takeLine(false));
         }
-        case relay_kind::End:
-          break;
-        case relay_kind::Head:
-        case relay_kind::Restart:
-          return true;
+        if (Next.Kind == relay_kind::Data) {
+          Relay->Text += Next.Bytes;
+          return write(Sink, Relay->takeLine(false));
         }
+        if (Next.Kind != relay_kind::End)
+          return true;
+        if (!Next.Result.Spans.empty())
+          Relay->Version = Next.Result.Spans.back().Version;
+        if (!write(Sink, Relay->takeLine(true)))
+          return false;
         if (!completed(Next)) {
           metrics::get().counter("answers_cut_total").add();
           write(Sink, "data: " + errorBody(Next.Result.Verdict) + "\n\n");
--- a/entry/dispatch.h
+++ b/entry/dispatch.h
@@ -51,6 +51,10 @@
   /// Whether the dispatcher itself repeats an idempotent call that may have
   /// run. Samples set it to false, because their partial output is resumed.
   bool RetryAfterRun = true;
+  /// Nothing that OnData received reaches the caller before OnEnd, so that the
+  /// request may start over at any time. When it is idempotent as well, an
+  /// agent that does not come back is given up after a few seconds.
+  bool Restartable = false;
   /// The consumer calls dispatcher::consume() for each byte of OnData, which
   /// bounds what is buffered for it to the window of one stream.
   bool ManualConsume = false;
@@ -74,6 +78,8 @@
 /// Hooks on the dispatcher's thread; they must not block. OnEnd is required
 /// and called exactly once, last.
 struct dispatch_sink {
+  /// An attempt goes to this upstream; what was received before is void.
+  std::function<void(std::string_view Upstream)> OnSent;
   std::function<void(const wire::response_head &Head)> OnHead;
   std::function<void(std::string_view Bytes)> OnData;
   /// Progress of a run. After a reconnection spans may be repeated; only those
--- a/entry/dispatcher.cpp
+++ b/entry/dispatcher.cpp
@@ -87,19 +87,25 @@
   });
 }
 
+void dispatcher::endHere(request &R) {
+  verdict Verdict = R.Verdict;
+  if (R.Phase != request_phase::Waiting)
+    Verdict = combine(Verdict, classify(outcomeOf(R, outcome_kind::Cancelled)));
+  finish(R, outcome_kind::Cancelled, std::move(Verdict));
+}
+
 void dispatcher::abandon(dispatch_id Id) {
-  withRequest(Id, [this](request &R, time_point Now) {
-    if (R.Phase == request_phase::Waiting) {
-      finish(R, outcome_kind::Cancelled, R.Verdict);
-      return;
-    }
-    if (R.Call.Request->idempotent())
+  withRequest(Id, [this](request &R, time_point) {
+    if (R.Phase != request_phase::Waiting && R.Call.Request->idempotent())
       sendCancel(R);
-    verdict Latest = classify(outcomeOf(R, outcome_kind::Cancelled));
-    finish(R, outcome_kind::Cancelled, combine(R.Verdict, std::move(Latest)));
+    endHere(R);
   });
 }
 
+void dispatcher::release(dispatch_id Id) {
+  withRequest(Id, [this](request &R, time_point) { endHere(R); });
+}
+
 void dispatcher::consume(dispatch_id Id, size_t Bytes) {
   withRequest(Id, [this, Bytes](request &R, time_point) {
     const size_t Released = std::min(Bytes, R.Unconsumed);
@@ -177,15 +183,9 @@
 }
 
 void dispatcher::endAll() {
-  for (auto &[Id, R] : Requests) {
-    if (R->Phase == request_phase::Ended)
-      continue;
-    verdict Latest = R->Verdict;
-    if (R->Phase != request_phase::Waiting)
-      Latest =
-          combine(Latest, classify(outcomeOf(*R, outcome_kind::Cancelled)));
-    finish(*R, outcome_kind::Cancelled, std::move(Latest));
-  }
+  for (auto &[Id, R] : Requests)
+    if (R->Phase != request_phase::Ended)
+      endHere(*R);
   Requests.clear();
 }
 
@@ -283,7 +283,7 @@
   const peer_view &Peer = Peers[R.Address];
   R.Incarnation = Peer.Incarnation;
   R.SentEpoch = Peer.Epoch;
-  R.RunId = R.Call.Request->request_id();
+  R.RunId = R.runId();
   R.HolderAttached = R.Attaching = R.CancelSent = false;
   R.AttachTries = 0;
   R.HeadRelayed = R.WholeOutput = false;
@@ -296,11 +296,14 @@
     Router.onDispatch(R.Upstream, R.routeRequest(), Now);
   }
   trace(R, "sent", R.Upstream, Now);
+  if (R.Sink.OnSent)
+    R.Sink.OnSent(R.Upstream);
   if (!Peer.Connected) {
     attemptEnded(R, outcomeOf(R, outcome_kind::NeverSent), Now);
     return;
   }
-  wire::run_request &Request = *R.Call.Request;
+  wire::run_request Request = *R.Call.Request;
+  Request.set_request_id(R.RunId);
   Request.set_attempt(R.Attempt);
   Request.set_agent_incarnation(R.Incarnation);
   Request.set_config_version(Options.ConfigVersion());
@@ -320,12 +323,14 @@
   // The run may have come over any connection so far, so that a missing record
   // is no evidence.
   R.SentEpoch = ~uint64_t(0);
-  R.SentAt = Now;
+  R.SentAt = R.BrokenAt = Now;
   R.Routed = true;
   {
     std::lock_guard Lock(RouterMutex);
     Router.onDispatch(R.Upstream, R.routeRequest(), Now);
   }
+  if (R.Sink.OnSent)
+    R.Sink.OnSent(R.Upstream);
   attach(R, Now);
 }
 
--- a/entry/dispatcher.h
+++ b/entry/dispatcher.h
@@ -68,6 +68,10 @@
   retry_budget_options Budget;
   /// How long a request waits for an eligible upstream before it is refused.
   milliseconds NoUpstreamWait{1000};
+  /// How long a request that could be repeated elsewhere waits for its agent
+  /// to come back. Covers the detection of a silent connection at the agent's
+  /// side and several attempts to connect.
+  milliseconds ReconnectWait{5000};
 };
 
 class dispatcher {
@@ -85,6 +89,9 @@
   /// Ends the request here at once, as Cancelled. The agent is told to cancel
   /// the run when it is idempotent.
   void abandon(dispatch_id Id);
+  /// Ends the request here at once, as Cancelled, and leaves the run alone, so
+  /// that another entry can adopt it.
+  void release(dispatch_id Id);
   /// Bytes of OnData that a consumer with ManualConsume has used up.
   void consume(dispatch_id Id, size_t Bytes);
   /// Lets the agent discard an answer that has been received in full.
@@ -129,6 +136,7 @@
   void openStream(request &R, std::string_view Path,
                   const std::string &Message);
   void sendCancel(const request &R);
+  void endHere(request &R);
 
   // Events (dispatcher_events.cpp).
   void onMessage(request &R, std::string_view Message, time_point Now);
@@ -137,6 +145,7 @@
   void onClosed(request &R, stream_end How, std::string_view Reason,
                 time_point Now);
   void attach(request &R, time_point Now);
+  [[nodiscard]] time_point reconnectUntil(const request &R) const;
   void attachToHolder(request &R, const wire::run_end &End, time_point Now);
   void onPeerChange(const std::string &Address, time_point Now);
   void attemptEnded(request &R, run_outcome Outcome, time_point Now);
--- a/entry/dispatcher_events.cpp
+++ b/entry/dispatcher_events.cpp
@@ -26,19 +26,18 @@
 
 void dispatcher::onMessage(request &R, std::string_view Message,
                            time_point Now) {
-  // Each frame has a length prefix of four bytes.
-  static constexpr size_t PrefixBytes = 4;
   wire::run_event Event;
   if (!Event.ParseFromArray(Message.data(), int(Message.size()))) {
     Options.CancelStream(R.Stream);
     attemptEnded(R, outcomeOf(R, outcome_kind::BadAnswer), Now);
     return;
   }
+  R.AttachTries = 0;
   size_t Kept = 0;
   if (Event.has_data() && R.Call.ManualConsume)
     Kept = std::min<size_t>(Event.data().bytes().size(), Message.size());
   R.Unconsumed += Kept;
-  Options.Consume(R.Stream, Message.size() + PrefixBytes - Kept);
+  Options.Consume(R.Stream, Message.size() - Kept);
   if (Event.has_head() && !R.HeadRelayed) {
     R.HeadRelayed = true;
     if (R.Sink.OnHead)
@@ -160,6 +159,8 @@
   metrics::get().counter("streams_broken_total").add();
   if (!R.Attaching)
     R.SentEpoch = std::max(R.SentEpoch, Peers[R.Address].Epoch);
+  if (R.AttachTries == 0)
+    R.BrokenAt = Now;
   R.Phase = request_phase::Reconnecting;
   // While the connection is up, the peer ended the stream alone: try again
   // soon. Otherwise onPeerChange() goes on.
@@ -173,6 +174,15 @@
       attach(*R, Now);
 }
 
+time_point dispatcher::reconnectUntil(const request &R) const {
+  const bool Repeatable =
+      R.Call.Request->idempotent() &&
+      (R.Call.Restartable || (!R.HeadRelayed && R.Offset == 0));
+  return Repeatable
+             ? std::min(R.Call.Deadline, R.BrokenAt + Options.ReconnectWait)
+             : R.Call.Deadline;
+}
+
 void dispatcher::attach(request &R, time_point Now) {
   const peer_view &Peer = Peers[R.Address];
   R.Attaching = true;
@@ -182,7 +192,7 @@
   }
   if (!Peer.Connected) {
     R.Phase = request_phase::Reconnecting;
-    wakeAt(R, R.Call.Deadline);
+    wakeAt(R, reconnectUntil(R));
     return;
   }
   ++R.AttachTries;
@@ -209,14 +219,15 @@
       tryNext(R, Now);
     return;
   }
-  if (Now < R.Call.Deadline) {
-    if (R.Phase == request_phase::Reconnecting)
-      attach(R, Now);
-    else
-      wakeAt(R, R.Call.Deadline);
+  const bool Lost = R.Phase == request_phase::Reconnecting;
+  if (Lost && Now < reconnectUntil(R)) {
+    attach(R, Now);
+    return;
+  }
+  if (!Lost && Now < R.Call.Deadline) {
+    wakeAt(R, R.Call.Deadline);
     return;
   }
-  const bool Lost = R.Phase == request_phase::Reconnecting;
   if (!Lost && R.Call.Request->idempotent())
     sendCancel(R);
   attemptEnded(R,
@@ -282,6 +293,8 @@
   }
   metrics::get().counter("retries_total", "reason", Latest.Reason).add();
   R.Exclude.push_back(R.Upstream);
+  if (Latest.Certainty != run_certainty::NotRun)
+    R.RanOn.push_back(R.Upstream);
   R.Phase = request_phase::Waiting;
   R.NoUpstreamUntil = Now + Delay + Options.NoUpstreamWait;
   wakeAt(R, Now + Delay);
--- a/entry/dispatcher_request.h
+++ b/entry/dispatcher_request.h
@@ -7,6 +7,10 @@
 #include "entry/dispatcher.h"
 #include "inner/gen/messages.pb.h"
 
+#include <algorithm>
+#include <string>
+#include <vector>
+
 namespace cardamom {
 
 enum class request_phase {
@@ -37,6 +41,8 @@
   bool HolderAttached = false;
   bool Attaching = false;
   unsigned AttachTries = 0;
+  /// Since when nothing has been received; set while AttachTries counts.
+  time_point BrokenAt{};
   bool CancelSent = false;
   inner_client::stream_id Stream = 0;
   /// Tells events of the present stream from those of earlier ones.
@@ -59,9 +65,21 @@
                   .Message = "no upstream of the pool can take the request",
                   .RetryAfter = milliseconds(500)};
   std::vector<std::string> Exclude;
+  /// Upstreams that hold a record of this request id which is not a refusal.
+  std::vector<std::string> RanOn;
   time_point NoUpstreamUntil{};
   time_point WakeAt{};
 
+  /// An agent takes a request id only once unless it refused it. An idempotent
+  /// request that returns to an agent is a new run there.
+  [[nodiscard]] std::string runId() const {
+    const std::string &Id = Call.Request->request_id();
+    if (!Call.Request->idempotent() ||
+        std::find(RanOn.begin(), RanOn.end(), Upstream) == RanOn.end())
+      return Id;
+    return Id + "." + std::to_string(Attempt);
+  }
+
   [[nodiscard]] route_request routeRequest() const {
     route_request Request;
     Request.Work = Call.Work;
--- /dev/null
+++ b/entry/forwarding.cpp
@@ -0,0 +1,136 @@
+#include "entry/forwarding.h"
+
+#include "entry/step_service.h"
+#include "inner/gen/messages.pb.h"
+#include "inner/inner_client.h"
+#include "inner/server_stream.h"
+
+#include <future>
+#include <optional>
+#include <thread>
+#include <utility>
+
+namespace cardamom {
+
+// Time for a first connection to another entry.
+static constexpr milliseconds ConnectWait{1500};
+static constexpr milliseconds ConnectPoll{30};
+// Beyond the longest wait of a draw.
+static constexpr milliseconds AnswerWait{70000};
+
+namespace {
+struct forward_result {
+  stream_end End = stream_end::NeverSent;
+  std::optional<wire::forwarded_reply> Reply;
+};
+
+/// State of one stream, which may outlive the waiting thread.
+struct forward_state {
+  std::promise<forward_result> Done;
+  std::optional<wire::forwarded_reply> Reply;
+};
+} // namespace
+
+static std::string targetOf(const trainer_call &Call) {
+  std::string Target =
+      "/v1/trainers/" + Call.Trainer + "/steps/" + std::to_string(Call.Step);
+  if (Call.Kind == trainer_call::kind::Draw)
+    Target += "/draw";
+  return Target;
+}
+
+static forward_result exchange(inner_client &Client, const std::string &Address,
+                               const std::string &Path,
+                               const std::string &Message) {
+  const auto State = std::make_shared<forward_state>();
+  auto Future = State->Done.get_future();
+  const auto Stream = Client.open(
+      Address, Path, Message,
+      {.OnMessage =
+           [State](std::string_view Text) {
+             wire::forwarded_reply Reply;
+             if (Reply.ParseFromArray(Text.data(), int(Text.size())))
+               State->Reply = std::move(Reply);
+           },
+       .OnClose =
+           [State](stream_end End, std::string_view) {
+             State->Done.set_value({End, std::move(State->Reply)});
+           }});
+  if (Future.wait_for(AnswerWait) != std::future_status::ready)
+    Client.cancel(Stream);
+  return Future.get();
+}
+
+static http_reply replyOf(const wire::forwarded_reply &Forwarded) {
+  http_reply Reply;
+  Reply.Status = int(Forwarded.status());
+  Reply.ContentType = Forwarded.content_type();
+  Reply.Body = Forwarded.body();
+  Reply.Error = Reply.Status >= 400;
+  Reply.RetryAfter = milliseconds(Forwarded.retry_after_ms());
+  return Reply;
+}
+
+http_reply forwardCall(inner_client &Client, const std::string &Address,
+                       const trainer_call &Call) {
+  wire::forwarded_call Forwarded;
+  const bool Submit = Call.Kind == trainer_call::kind::Submit;
+  Forwarded.set_method(Submit ? "PUT" : "POST");
+  Forwarded.set_target(targetOf(Call));
+  Forwarded.set_body(Call.Body);
+  const std::string Message = Forwarded.SerializeAsString();
+  const std::string Path = Submit ? "/submit" : "/draw";
+  Client.addPeer(Address);
+  const time_point ConnectUntil = steady_clock::now() + ConnectWait;
+  while (true) {
+    const forward_result Result = exchange(Client, Address, Path, Message);
+    if (Result.Reply)
+      return replyOf(*Result.Reply);
+    if (Result.End != stream_end::NeverSent)
+      return errorReply({.Certainty = run_certainty::MayHaveRun,
+                         .Reason = "owner_lost",
+                         .Message = "the connection to the owner of the "
+                                    "trainer's steps was lost; repeat the call",
+                         .RetryAfter = milliseconds(300)});
+    if (steady_clock::now() >= ConnectUntil)
+      return errorReply({.Certainty = run_certainty::NotRun,
+                         .Reason = "owner_unreachable",
+                         .Message = "the owner of the trainer's steps cannot "
+                                    "be reached",
+                         .RetryAfter = milliseconds(500)});
+    std::this_thread::sleep_for(ConnectPoll);
+  }
+}
+
+static void sendReply(server_stream &Stream, const http_reply &Reply) {
+  wire::forwarded_reply Forwarded;
+  Forwarded.set_status(uint32_t(Reply.Status));
+  Forwarded.set_content_type(Reply.ContentType);
+  Forwarded.set_body(Reply.Body);
+  Forwarded.set_retry_after_ms(uint32_t(Reply.RetryAfter.count()));
+  Stream.send(Forwarded.SerializeAsString());
+  Stream.finish();
+}
+
+void serveForwarded(step_service &Steps, std::shared_ptr<server_stream> Stream,
+                    std::string_view Message) {
+  wire::forwarded_call Forwarded;
+  std::optional<trainer_call> Call;
+  try {
+    if (Forwarded.ParseFromArray(Message.data(), int(Message.size())))
+      Call = parseTrainerCall(Forwarded.method(), Forwarded.target());
+  } catch (const input_error &Error) {
+    sendReply(*Stream, errorReply(Error));
+    return;
+  }
+  if (!Call) {
+    sendReply(*Stream, errorReply(input_error(400, "malformed_message", "call",
+                                              "a call of a trainer")));
+    return;
+  }
+  Call->Body = Forwarded.body();
+  Steps.forwarded(std::move(*Call),
+                  [Stream](http_reply Reply) { sendReply(*Stream, Reply); });
+}
+
+} // namespace cardamom
--- /dev/null
+++ b/entry/forwarding.h
@@ -0,0 +1,32 @@
+/// \file
+/// Trainer calls on their way from one entry to the owner of the steps.
+
+#ifndef CARDAMOM_ENTRY_FORWARDING_H
+#define CARDAMOM_ENTRY_FORWARDING_H
+
+#include "entry/http_front.h"
+#include "entry/http_reply.h"
+
+#include <memory>
+#include <string>
+#include <string_view>
+
+namespace cardamom {
+
+class inner_client;
+class server_stream;
+class step_service;
+
+/// Sends the call to the entry at the inner address and waits for its answer.
+/// Trainer calls are idempotent, so that the trainer may repeat one whatever
+/// the verdict is.
+http_reply forwardCall(inner_client &Client, const std::string &Address,
+                       const trainer_call &Call);
+
+/// Serves "/draw" and "/submit" of another entry. Does not block.
+void serveForwarded(step_service &Steps, std::shared_ptr<server_stream> Stream,
+                    std::string_view Message);
+
+} // namespace cardamom
+
+#endif // CARDAMOM_ENTRY_FORWARDING_H
--- /dev/null
+++ b/entry/retained_runs.cpp
@@ -0,0 +1,55 @@
+#include "entry/retained_runs.h"
+
+#include "inner/gen/messages.pb.h"
+#include "inner/inner_client.h"
+
+#include <memory>
+#include <utility>
+
+namespace cardamom {
+
+namespace {
+/// Answers so far; touched by the client's I/O thread alone once the streams
+/// are open. The last reference reports them.
+struct gathered_runs {
+  std::vector<retained_run> Runs;
+  std::function<void(std::vector<retained_run>)> OnFound;
+  ~gathered_runs() { OnFound(std::move(Runs)); }
+};
+} // namespace
+
+static void addRuns(gathered_runs &Gathered, const std::string &Upstream,
+                    std::string_view Message) {
+  wire::query_reply Reply;
+  if (!Reply.ParseFromArray(Message.data(), int(Message.size())))
+    return;
+  for (const wire::run_status &Run : Reply.runs())
+    if (Run.state() == wire::QUEUED || Run.state() == wire::RUNNING ||
+        Run.state() == wire::FINISHED)
+      Gathered.Runs.push_back({Upstream, Run.request_id(), Run.sample()});
+}
+
+void findRetainedRuns(
+    inner_client &Client, const std::vector<std::string> &Addresses,
+    const std::string &Prefix,
+    std::function<void(std::vector<retained_run> Runs)> OnFound) {
+  auto Gathered = std::make_shared<gathered_runs>();
+  Gathered->OnFound = std::move(OnFound);
+  for (const std::string &Address : Addresses) {
+    const auto Peer = Client.peer(Address);
+    if (!Peer || !Peer->Connected)
+      continue;
+    wire::query_request Query;
+    Query.set_agent_incarnation(Peer->Identity.Incarnation);
+    Query.set_sample_prefix(Prefix);
+    Client.open(Address, "/query", Query.SerializeAsString(),
+                {.OnMessage =
+                     [Gathered, Upstream = Peer->Identity.Name](
+                         std::string_view Message) {
+                       addRuns(*Gathered, Upstream, Message);
+                     },
+                 .OnClose = [Gathered](stream_end, std::string_view) {}});
+  }
+}
+
+} // namespace cardamom
--- /dev/null
+++ b/entry/step_owner.h
@@ -0,0 +1,187 @@
+/// \file
+/// The steps of one trainer: keeps the trainer's lease, has every sample
+/// generated, and gives finished samples to the trainer's draws.
+///
+/// Use:
+///   step_owner Owner({.Trainer = "t1", .Lease = {...}, .Dispatch = ...});
+///   Owner.call(Call, false, [](step_answer Answer) { ... }, Now);
+///   Owner.tick(Now);     // every 20 ms or so
+///
+/// The trainer's own state decides what it has: a draw lists it, and only then
+/// does this class drop a sample. A repeated draw therefore gives a sample
+/// again that was lost on the way, and never one that arrived. All calls and
+/// callbacks come from one thread.
+
+#ifndef CARDAMOM_ENTRY_STEP_OWNER_H
+#define CARDAMOM_ENTRY_STEP_OWNER_H
+
+#include "config/configuration.h"
+#include "entry/dispatch.h"
+#include "entry/http_front.h"
+#include "entry/http_reply.h"
+#include "entry/lease_keeper.h"
+#include "entry/step_samples.h"
+#include "policy/straggler.h"
+
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <memory>
+#include <nlohmann/json_fwd.hpp>
+#include <optional>
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace cardamom {
+
+struct step_answer {
+  http_reply Reply;
+  /// When set, the call belongs to the owner at this inner address.
+  std::string ForwardTo;
+};
+
+/// A run that an agent retains for an earlier owner.
+struct retained_run {
+  std::string Upstream;
+  std::string RequestId;
+  std::string Sample;
+};
+
+struct step_owner_options {
+  using run_callback =
+      std::function<void(const run_ended &End, time_point Now)>;
+  using find_callback = std::function<void(
+      const std::vector<retained_run> &Runs, time_point Now)>;
+
+  std::string Trainer;
+  /// OnSettled is set by step_owner.
+  lease_keeper_options Lease;
+  std::function<std::shared_ptr<const configuration>()> Config;
+  /// dispatcher calls. Callbacks come later, never from inside the call.
+  std::function<dispatch_id(dispatch_call Call,
+                            std::shared_ptr<run_progress> Progress,
+                            run_callback OnEnd)>
+      Dispatch;
+  std::function<void(dispatch_id)> Cancel;
+  std::function<void(dispatch_id)> Abandon;
+  std::function<void(dispatch_id)> Release;
+  std::function<void(const std::string &Address, const std::string &RunId)>
+      Acknowledge;
+  /// Asks the agents of a pool for retained runs by prefix of their samples.
+  std::function<void(const std::string &Pool, const std::string &Prefix,
+                     find_callback OnFound)>
+      FindRuns;
+  std::function<double(const std::string &Pool, double Work,
+                       uint64_t MinVersion, const std::string &Except,
+                       time_point Now)>
+      PredictMs;
+  /// Slots of the connected upstreams of a pool.
+  std::function<unsigned(const std::string &Pool)> Slots;
+  std::function<std::string()> NewId;
+  straggler_options Straggler;
+};
+
+class step_owner {
+public:
+  using answer = std::function<void(step_answer Answer)>;
+
+  explicit step_owner(step_owner_options Options);
+  ~step_owner();
+  step_owner(const step_owner &) = delete;
+  step_owner &operator=(const step_owner &) = delete;
+
+  /// A submission or a draw. Answer is called exactly once, possibly later. A
+  /// forwarded call is never forwarded again.
+  void call(const trainer_call &Call, bool Forwarded, answer Answer,
+            time_point Now);
+  void tick(time_point Now);
+  /// Hands the lease over. Runs go on at their agents, where the next owner
+  /// finds them.
+  void release(time_point Now);
+  /// What release() still waits for; empty when nothing.
+  [[nodiscard]] std::string waitingFor() const;
+  [[nodiscard]] nlohmann::json status() const;
+
+private:
+  struct waiting_call {
+    trainer_call Call;
+    bool Forwarded = false;
+    answer Answer;
+  };
+  struct waiting_draw {
+    uint64_t Step = 0;
+    draw_request Draw;
+    answer Answer;
+    time_point Until;
+  };
+  /// One step, and whether it still waits for retained runs.
+  struct active_step {
+    active_step(uint64_t Step, step_submission Submission)
+        : Samples(Step, std::move(Submission)) {}
+    step_samples Samples;
+    /// Runs start when the agents have answered, or at this time.
+    std::optional<time_point> AdoptUntil;
+    time_point StragglersAt{};
+  };
+
+  void onSettled(time_point Now);
+  void serve(const trainer_call &Call, bool Forwarded, const answer &Answer,
+             time_point Now);
+  http_reply submit(const trainer_call &Call, time_point Now);
+  void draw(const trainer_call &Call, const answer &Answer, time_point Now);
+  std::optional<http_reply> refuseDraw(const trainer_call &Call,
+                                       const draw_request &Draw,
+                                       time_point Now);
+  void markDelivered(active_step &Step, const std::vector<sample_key> &Have);
+  /// Answers the waiting draw when there is something to give; Force answers
+  /// it in any case.
+  void answerDraw(bool Force, time_point Now);
+  std::string drawBody(active_step &Step, const draw_request &Draw,
+                       const std::vector<step_sample *> &Given);
+
+  void makeRoom(uint64_t NewStep);
+  void dropStep(active_step &Step, bool CancelRuns);
+  void dropAll();
+  void adopt(uint64_t Step, const std::vector<retained_run> &Runs,
+             time_point Now);
+
+  void dispatchWaiting(active_step &Step, time_point Now);
+  [[nodiscard]] std::string sampleName(uint64_t Step,
+                                       const sample_key &Key) const;
+  [[nodiscard]] dispatch_call makeCall(const active_step &Step,
+                                       const step_sample &Sample,
+                                       const trainer_rule &Rule,
+                                       time_point Now) const;
+  void startRun(active_step &Step, step_sample &Sample, dispatch_call Call,
+                time_point Now);
+  void onRunEnded(uint64_t Step, sample_key Key, dispatch_id Id,
+                  const run_ended &End, time_point Now);
+  void startScore(active_step &Step, step_sample &Sample, time_point Now);
+  void onScored(uint64_t Step, sample_key Key, dispatch_id Id,
+                const run_ended &End, time_point Now);
+  void repeatScores(active_step &Step, time_point Now);
+  void cancelStale(active_step &Step);
+  void moveStragglers(active_step &Step, time_point Now);
+  void moveStragglersOf(active_step &Step, size_t First, size_t Count,
+                        time_point Now);
+  [[nodiscard]] sample_progress progressOf(const step_sample &Sample,
+                                           time_point Now) const;
+  [[nodiscard]] trainer_rule rule() const;
+  active_step *findStep(uint64_t Step);
+  step_sample *findRun(uint64_t Step, const sample_key &Key, dispatch_id Id);
+
+  step_owner_options Options;
+  lease_keeper Lease;
+  straggler_finder Stragglers;
+  std::vector<waiting_call> WaitingCalls;
+  std::optional<waiting_draw> WaitingDraw;
+  std::map<uint64_t, std::unique_ptr<active_step>> Steps;
+  /// Highest weight version that the trainer has named.
+  uint64_t TrainerVersion = 0;
+  bool Releasing = false;
+};
+
+} // namespace cardamom
+
+#endif // CARDAMOM_ENTRY_STEP_OWNER_H
--- /dev/null
+++ b/entry/step_owner_runs.cpp
@@ -0,0 +1,333 @@
+#include "base/metrics.h"
+#include "entry/step_owner.h"
+#include "inner/gen/messages.pb.h"
+#include "policy/staleness.h"
+
+#include <algorithm>
+#include <nlohmann/json.hpp>
+#include <utility>
+#include <xxhash.h>
+
+namespace cardamom {
+
+using json = nlohmann::json;
+
+// Below the longest deadline that agents accept (300 s).
+static constexpr milliseconds RunTimeout{290000};
+static constexpr milliseconds ScoreTimeout{30000};
+// Runs in flight beyond the slots of the pool: enough to keep the agents'
+// queues from running empty, few enough to leave the choice of the upstream
+// open.
+static constexpr double RunsPerSlot = 1.5;
+static constexpr unsigned MinRuns = 8;
+static constexpr milliseconds StragglerInterval{500};
+static constexpr milliseconds RepeatMin{100};
+static constexpr milliseconds RepeatMax{3000};
+static constexpr size_t PrefixBytes = 256;
+// Marks the runs that hold only the rest of a sample. A new owner does not
+// have the part before and leaves them alone.
+static constexpr std::string_view ResumedMark = "/resumed";
+
+step_sample *step_owner::findRun(uint64_t Step, const sample_key &Key,
+                                 dispatch_id Id) {
+  active_step *Found = findStep(Step);
+  step_sample *Sample = Found ? Found->Samples.find(Key) : nullptr;
+  return Sample && Sample->Run == Id ? Sample : nullptr;
+}
+
+void step_owner::dispatchWaiting(active_step &Step, time_point Now) {
+  if (Step.AdoptUntil)
+    return;
+  const trainer_rule Rule = rule();
+  const auto Limit = size_t(
+      std::max(double(MinRuns), RunsPerSlot * Options.Slots(Rule.Model)));
+  size_t Running = 0;
+  for (auto &[Id, Other] : Steps)
+    Running += Other->Samples.count(sample_state::Running);
+  for (step_sample &Sample : Step.Samples.samples()) {
+    if (Running >= Limit)
+      return;
+    if (Sample.State != sample_state::Waiting || Sample.NotBefore > Now)
+      continue;
+    startRun(Step, Sample, makeCall(Step, Sample, Rule, Now), Now);
+    ++Running;
+  }
+}
+
+std::string step_owner::sampleName(uint64_t Step, const sample_key &Key) const {
+  return Options.Trainer + "/" + std::to_string(Step) + "/" +
+         std::to_string(Key.Group) + "/" + std::to_string(Key.Index);
+}
+
+dispatch_call step_owner::makeCall(const active_step &Step,
+                                   const step_sample &Sample,
+                                   const trainer_rule &Rule,
+                                   time_point Now) const {
+  const step_group &Group = *Sample.Group;
+  const auto Tokens = uint32_t(tokensOf(Sample.Spans));
+  dispatch_call Call;
+  Call.Pool = Rule.Model;
+  Call.Deadline = Now + RunTimeout;
+  Call.Work = Group.MaxTokens - Tokens;
+  Call.PrefixHash = XXH3_64bits(Group.Prompt.data(),
+                                std::min(PrefixBytes, Group.Prompt.size()));
+  Call.Exclude = Sample.Exclude;
+  Call.RetryAfterRun = false;
+  Call.Restartable = true;
+  Call.Request = std::make_shared<wire::run_request>();
+  wire::run_request &Request = *Call.Request;
+  Request.set_request_id(Options.NewId());
+  Request.set_class_(Rule.Priority <= 1 ? wire::TRAINER_FIRST
+                                        : wire::TRAINER_SECOND);
+  Request.set_idempotent(true);
+  std::string Name =
+      Options.Trainer + "/" + std::to_string(Step.Samples.step()) + "/" +
+      std::to_string(Sample.Key.Group) + "/" + std::to_string(Sample.Key.Index);
+  if (Tokens > 0)
+    Name += ResumedMark;
+  Request.set_sample(Name);
+  wire::model_call &Model = *Request.mutable_model();
+  Model.set_model(Rule.Model);
+  Model.set_prompt(Group.Prompt);
+  Model.set_max_tokens(Group.MaxTokens);
+  Model.set_resume_text(Sample.Text);
+  Model.set_resume_tokens(Tokens);
+  Model.set_min_version(
+      lowestUsefulVersion(TrainerVersion, Rule.StalenessBound));
+  return Call;
+}
+
+void step_owner::startRun(active_step &Step, step_sample &Sample,
+                          dispatch_call Call, time_point Now) {
+  Sample.State = sample_state::Running;
+  Sample.Progress = std::make_shared<run_progress>();
+  Sample.RunStarted = Now;
+  Sample.CancelSent = false;
+  Sample.Exclude.clear();
+  // The callback comes later, when the id is known.
+  const auto Id = std::make_shared<dispatch_id>(0);
+  *Id =
+      Options.Dispatch(std::move(Call), Sample.Progress,
+                       [this, Id, StepId = Step.Samples.step(),
+                        Key = Sample.Key](const run_ended &End, time_point At) {
+                         onRunEnded(StepId, Key, *Id, End, At);
+                       });
+  Sample.Run = *Id;
+}
+
+static milliseconds repeatDelay(const step_sample &Sample,
+                                const dispatch_result &Result) {
+  static constexpr unsigned MaxDoublings = 5;
+  const unsigned Doublings = std::min(Sample.Failures, MaxDoublings);
+  return std::min<milliseconds>(
+      RepeatMax,
+      std::max(RepeatMin * (1 << Doublings), Result.Verdict.RetryAfter));
+}
+
+void step_owner::onRunEnded(uint64_t StepId, sample_key Key, dispatch_id Id,
+                            const run_ended &End, time_point Now) {
+  step_sample *Sample = findRun(StepId, Key, Id);
+  if (!Sample)
+    return;
+  active_step &Step = *findStep(StepId);
+  const bool Moved = Sample->CancelSent;
+  const run_effect Effect = Step.Samples.runEnded(*Sample, End, TrainerVersion,
+                                                  rule().StalenessBound);
+  switch (Effect) {
+  case run_effect::Finished:
+    if (!rule().Scorer.empty())
+      startScore(Step, *Sample, Now);
+    else
+      answerDraw(false, Now);
+    break;
+  case run_effect::Resumable:
+    metrics::get()
+        .counter("samples_resumed_total", "reason", End.Result.Verdict.Reason)
+        .add();
+    Options.Acknowledge(Sample->RunAddress, Sample->RunId);
+    if (Moved || End.Result.Kind == outcome_kind::UpstreamFailed)
+      Sample->Exclude = {End.Result.Upstream};
+    Sample->NotBefore = Now + (Moved ? milliseconds(0) : RepeatMin);
+    break;
+  case run_effect::Repeat:
+    metrics::get()
+        .counter("samples_repeated_total", "reason", End.Result.Verdict.Reason)
+        .add();
+    ++Sample->Failures;
+    Sample->NotBefore = Now + repeatDelay(*Sample, End.Result);
+    break;
+  case run_effect::Stale:
+    metrics::get().counter("samples_stale_total").add();
+    break;
+  }
+  dispatchWaiting(Step, Now);
+}
+
+void step_owner::startScore(active_step &Step, step_sample &Sample,
+                            time_point Now) {
+  Sample.State = sample_state::Scoring;
+  const json Body = {{"prompt", Sample.Group->Prompt},
+                     {"completion", Sample.Text}};
+  dispatch_call Call;
+  Call.Pool = rule().Scorer;
+  Call.Deadline = Now + ScoreTimeout;
+  Call.Request = std::make_shared<wire::run_request>();
+  wire::run_request &Request = *Call.Request;
+  Request.set_request_id(Options.NewId());
+  Request.set_class_(rule().Priority <= 1 ? wire::TRAINER_FIRST
+                                          : wire::TRAINER_SECOND);
+  Request.set_idempotent(true);
+  wire::plain_call &Plain = *Request.mutable_plain();
+  Plain.set_route("/score");
+  Plain.set_method("POST");
+  Plain.set_target("/score");
+  Plain.set_body(Body.dump(-1, ' ', false, json::error_handler_t::replace));
+  wire::header_field &Type = *Plain.add_headers();
+  Type.set_name("Content-Type");
+  Type.set_value("application/json");
+  const auto Id = std::make_shared<dispatch_id>(0);
+  *Id =
+      Options.Dispatch(std::move(Call), std::make_shared<run_progress>(),
+                       [this, Id, StepId = Step.Samples.step(),
+                        Key = Sample.Key](const run_ended &End, time_point At) {
+                         onScored(StepId, Key, *Id, End, At);
+                       });
+  Sample.Run = *Id;
+}
+
+static std::optional<double> parseScore(const run_ended &End) {
+  if (End.Result.Kind != outcome_kind::Completed)
+    return std::nullopt;
+  const json Object = json::parse(End.Text, nullptr, false);
+  if (!Object.is_object() || !Object.contains("score") ||
+      !Object["score"].is_number())
+    return std::nullopt;
+  return Object["score"].get<double>();
+}
+
+void step_owner::onScored(uint64_t StepId, sample_key Key, dispatch_id Id,
+                          const run_ended &End, time_point Now) {
+  step_sample *Sample = findRun(StepId, Key, Id);
+  if (!Sample)
+    return;
+  Sample->Run = 0;
+  Sample->Score = parseScore(End);
+  if (Sample->Score) {
+    Options.Acknowledge(End.Result.Address, End.Result.RequestId);
+    Sample->State = sample_state::Done;
+    answerDraw(false, Now);
+    return;
+  }
+  metrics::get()
+      .counter("scores_failed_total", "reason", End.Result.Verdict.Reason)
+      .add();
+  ++Sample->Failures;
+  Sample->NotBefore = Now + repeatDelay(*Sample, End.Result);
+}
+
+void step_owner::adopt(uint64_t StepId, const std::vector<retained_run> &Runs,
+                       time_point Now) {
+  active_step *Step = findStep(StepId);
+  if (!Step || !Step->AdoptUntil)
+    return;
+  Step->AdoptUntil.reset();
+  const trainer_rule Rule = rule();
+  std::map<std::string, const retained_run *> ByName;
+  for (const retained_run &Run : Runs)
+    ByName.emplace(Run.Sample, &Run);
+  for (step_sample &Sample : Step->Samples.samples()) {
+    const auto It = ByName.find(sampleName(StepId, Sample.Key));
+    if (Sample.State != sample_state::Waiting || It == ByName.end())
+      continue;
+    dispatch_call Call = makeCall(*Step, Sample, Rule, Now);
+    Call.Request->set_request_id(It->second->RequestId);
+    Call.AdoptFrom = It->second->Upstream;
+    Call.MaxAttempts = 1;
+    metrics::get().counter("samples_adopted_total").add();
+    startRun(*Step, Sample, std::move(Call), Now);
+  }
+  dispatchWaiting(*Step, Now);
+}
+
+void step_owner::repeatScores(active_step &Step, time_point Now) {
+  for (step_sample &Sample : Step.Samples.samples())
+    if (Sample.State == sample_state::Scoring && Sample.Run == 0 &&
+        Sample.NotBefore <= Now)
+      startScore(Step, Sample, Now);
+}
+
+void step_owner::cancelStale(active_step &Step) {
+  const uint64_t Bound = rule().StalenessBound;
+  for (step_sample &Sample : Step.Samples.samples()) {
+    if (Sample.State != sample_state::Running || Sample.CancelSent)
+      continue;
+    uint64_t Oldest = Sample.Progress->oldest();
+    if (const uint64_t Earlier = oldestOf(Sample.Spans); Earlier != 0)
+      Oldest = Oldest == 0 ? Earlier : std::min(Oldest, Earlier);
+    if (Oldest == 0 || canArriveFresh({.OldestVersion = Oldest,
+                                       .TrainerVersion = TrainerVersion,
+                                       .Bound = Bound}))
+      continue;
+    metrics::get().counter("samples_cancelled_stale_total").add();
+    Sample.CancelSent = true;
+    Options.Cancel(Sample.Run);
+  }
+}
+
+sample_progress step_owner::progressOf(const step_sample &Sample,
+                                       time_point Now) const {
+  sample_progress Progress;
+  Progress.MaxTokens = Sample.Group->MaxTokens;
+  Progress.Moves = Sample.Moves;
+  if (Sample.State != sample_state::Running) {
+    // Finished members of the group set its median. A waiting one has no rate.
+    const bool Finished = Sample.State != sample_state::Waiting;
+    Progress.Tokens = Progress.RunTokens = Progress.MaxTokens;
+    Progress.Elapsed = Finished ? RunTimeout : milliseconds(0);
+    return Progress;
+  }
+  Progress.RunTokens = Sample.Progress->tokens();
+  Progress.Tokens = uint32_t(tokensOf(Sample.Spans)) + Progress.RunTokens;
+  Progress.Elapsed =
+      std::chrono::duration_cast<milliseconds>(Now - Sample.RunStarted);
+  return Progress;
+}
+
+void step_owner::moveStragglers(active_step &Step, time_point Now) {
+  if (Now < Step.StragglersAt)
+    return;
+  Step.StragglersAt = Now + StragglerInterval;
+  size_t First = 0;
+  for (const step_group &Group : Step.Samples.submission().Groups) {
+    moveStragglersOf(Step, First, Group.Samples, Now);
+    First += Group.Samples;
+  }
+}
+
+void step_owner::moveStragglersOf(active_step &Step, size_t First, size_t Count,
+                                  time_point Now) {
+  const trainer_rule Rule = rule();
+  const std::span Group =
+      std::span(Step.Samples.samples()).subspan(First, Count);
+  std::vector<sample_progress> Progress;
+  for (const step_sample &Sample : Group) {
+    Progress.push_back(progressOf(Sample, Now));
+    sample_progress &Last = Progress.back();
+    if (Sample.State != sample_state::Running || Sample.CancelSent ||
+        Last.Elapsed < Options.Straggler.MinElapsed)
+      continue;
+    Last.ElsewhereMs = Options.PredictMs(
+        Rule.Model, double(Last.MaxTokens) - Last.Tokens,
+        lowestUsefulVersion(TrainerVersion, Rule.StalenessBound),
+        Sample.Progress->upstream(), Now);
+  }
+  for (size_t Index : Stragglers.find(Progress)) {
+    step_sample &Sample = Group[Index];
+    metrics::get().counter("stragglers_moved_total").add();
+    ++Sample.Moves;
+    Sample.CancelSent = true;
+    Options.Cancel(Sample.Run);
+  }
+}
+
+} // namespace cardamom
--- /dev/null
+++ b/entry/step_service.cpp
@@ -0,0 +1,325 @@
+#include "entry/step_service.h"
+
+#include "base/metrics.h"
+#include "entry/dispatcher.h"
+#include "entry/forwarding.h"
+#include "entry/http_checks.h"
+#include "entry/retained_runs.h"
+#include "entry/upstream_directory.h"
+#include "inner/gen/messages.pb.h"
+#include "store/store_client.h"
+
+#include <future>
+#include <nlohmann/json.hpp>
+#include <utility>
+
+namespace cardamom {
+
+using json = nlohmann::json;
+
+static constexpr size_t RingSize = 16384;
+static constexpr size_t StoreRingSize = 256;
+static constexpr milliseconds TickInterval{20};
+static constexpr milliseconds StatusInterval{200};
+// Beyond the longest wait of a draw.
+static constexpr milliseconds CallTimeout{75000};
+
+static verdict notRun(std::string Reason, std::string Message) {
+  return {.Certainty = run_certainty::NotRun,
+          .Reason = std::move(Reason),
+          .Message = std::move(Message),
+          .RetryAfter = milliseconds(300)};
+}
+
+static step_answer shuttingDown() {
+  return {errorReply(notRun("shutting_down", "this entry is stopping")), {}};
+}
+
+step_service::step_service(step_service_options Options)
+    : Options(std::move(Options)), Ring(RingSize), StoreRing(StoreRingSize) {}
+
+step_service::~step_service() { stop(); }
+
+void step_service::start() {
+  Loop = std::thread([this] { run(); });
+  StoreThread = std::thread([this] { runStore(); });
+}
+
+void step_service::stop() {
+  if (Stopping.exchange(true))
+    return;
+  Ring.close();
+  StoreRing.close();
+  if (Loop.joinable())
+    Loop.join();
+  if (StoreThread.joinable())
+    StoreThread.join();
+  // Callbacks that never ran hold promises; dropping them answers the calls.
+  while (Ring.pop(milliseconds(0)))
+    continue;
+}
+
+bool step_service::post(task Task) { return Ring.push(std::move(Task)); }
+
+void step_service::run() {
+  time_point NextTick = steady_clock::now();
+  time_point NextStatus = NextTick;
+  while (!Stopping) {
+    const time_point Now = steady_clock::now();
+    if (Now >= NextTick) {
+      tick(Now);
+      NextTick = Now + TickInterval;
+    }
+    if (Now >= NextStatus) {
+      publishStatus();
+      NextStatus = Now + StatusInterval;
+    }
+    const auto Left = std::chrono::duration_cast<milliseconds>(
+        NextTick - steady_clock::now());
+    if (auto Task = Ring.pop(std::max(milliseconds(1), Left)))
+      (*Task)(steady_clock::now());
+  }
+  Owners.clear();
+}
+
+void step_service::runStore() {
+  while (true) {
+    auto Call = StoreRing.pop(milliseconds(1000));
+    if (Call)
+      (*Call)();
+    else if (StoreRing.closed())
+      return;
+  }
+}
+
+void step_service::tick(time_point Now) {
+  for (auto &[Name, Owner] : Owners)
+    Owner->tick(Now);
+}
+
+void step_service::publishStatus() {
+  json Status = json::array();
+  std::string Wait;
+  for (auto &[Name, Owner] : Owners) {
+    Status.push_back(Owner->status());
+    if (Wait.empty() && Releasing)
+      Wait = Owner->waitingFor();
+  }
+  std::lock_guard Lock(StatusMutex);
+  StatusJson = Status.dump();
+  Waiting = std::move(Wait);
+}
+
+json step_service::status() const {
+  std::lock_guard Lock(StatusMutex);
+  return json::parse(StatusJson);
+}
+
+std::string step_service::waitingFor() const {
+  std::lock_guard Lock(StatusMutex);
+  return Waiting;
+}
+
+void step_service::release() {
+  {
+    std::lock_guard Lock(StatusMutex);
+    Waiting = "release of the trainers' leases";
+  }
+  const bool Posted = post([this](time_point Now) {
+    Releasing = true;
+    for (auto &[Name, Owner] : Owners)
+      Owner->release(Now);
+    publishStatus();
+  });
+  if (Posted)
+    return;
+  std::lock_guard Lock(StatusMutex);
+  Waiting.clear();
+}
+
+step_owner &step_service::ownerOf(const std::string &Trainer) {
+  std::unique_ptr<step_owner> &Owner = Owners[Trainer];
+  if (!Owner)
+    Owner = std::make_unique<step_owner>(ownerOptions(Trainer));
+  return *Owner;
+}
+
+lease_keeper_options step_service::leaseOptions(const std::string &Trainer) {
+  lease_keeper_options Lease;
+  Lease.Key = "trainers/" + Trainer;
+  Lease.Self.Owner = Options.Name;
+  Lease.Self.Address = Options.Address;
+  Lease.Self.Incarnation = Options.Incarnation;
+  Lease.Lease = Options.Lease;
+  Lease.Renew = Options.Lease * 3 / 10;
+  using answer = lease_keeper_options::answer;
+  const auto Call = [this](std::function<store_result()> Work, answer Answer) {
+    const bool Accepted = StoreRing.tryPush([this, Work = std::move(Work),
+                                             Answer](/*store thread*/) {
+      post([Result = Work(), Answer](time_point Now) { Answer(Result, Now); });
+    });
+    if (!Accepted)
+      post([Answer](time_point Now) { Answer({}, Now); });
+  };
+  Lease.Get = [this, Call](const std::string &Key, answer Answer) {
+    Call([this, Key] { return Options.Store->get(Key); }, std::move(Answer));
+  };
+  Lease.Put = [this, Call](const std::string &Key, const std::string &Value,
+                           uint64_t IfVersion, answer Answer) {
+    Call([this, Key, Value,
+          IfVersion] { return Options.Store->put(Key, Value, IfVersion); },
+         std::move(Answer));
+  };
+  return Lease;
+}
+
+step_owner_options step_service::ownerOptions(const std::string &Trainer) {
+  step_owner_options Owner;
+  Owner.Trainer = Trainer;
+  Owner.Lease = leaseOptions(Trainer);
+  Owner.Config = [this] { return Options.Directory->config(); };
+  Owner.Dispatch = [this](dispatch_call Call,
+                          std::shared_ptr<run_progress> Progress,
+                          step_owner_options::run_callback OnEnd) {
+    return dispatch(std::move(Call), std::move(Progress), std::move(OnEnd));
+  };
+  Owner.Cancel = [this](dispatch_id Id) { Options.Dispatcher->cancel(Id); };
+  Owner.Abandon = [this](dispatch_id Id) { Options.Dispatcher->abandon(Id); };
+  Owner.Release = [this](dispatch_id Id) { Options.Dispatcher->release(Id); };
+  Owner.Acknowledge = [this](const std::string &Address,
+                             const std::string &RunId) {
+    Options.Dispatcher->acknowledge(Address, RunId);
+  };
+  Owner.FindRuns = [this](const std::string &Pool, const std::string &Prefix,
+                          step_owner_options::find_callback OnFound) {
+    findRuns(Pool, Prefix, std::move(OnFound));
+  };
+  Owner.PredictMs = [this](const std::string &Pool, double Work,
+                           uint64_t MinVersion, const std::string &Except,
+                           time_point Now) {
+    return Options.Dispatcher->predictMs(Pool, Work, MinVersion, Except, Now);
+  };
+  Owner.Slots = [this](const std::string &Pool) {
+    unsigned Slots = 0;
+    for (const upstream_view &View : Options.Directory->views(Pool))
+      if (View.Connected && View.Ready && !View.Draining)
+        Slots += View.Slots;
+    return Slots;
+  };
+  Owner.NewId = randomId;
+  return Owner;
+}
+
+dispatch_id step_service::dispatch(dispatch_call Call,
+                                   std::shared_ptr<run_progress> Progress,
+                                   step_owner_options::run_callback OnEnd) {
+  const auto Text = std::make_shared<std::string>();
+  dispatch_sink Sink;
+  Sink.OnSent = [Text, Progress](std::string_view Upstream) {
+    Text->clear();
+    Progress->sent(Upstream);
+  };
+  Sink.OnData = [Text](std::string_view Bytes) { Text->append(Bytes); };
+  Sink.OnSpan = [Progress](const token_span &Span) { Progress->span(Span); };
+  Sink.OnRestart = [] { return true; };
+  Sink.OnEnd = [this, Text,
+                OnEnd = std::move(OnEnd)](const dispatch_result &Result) {
+    post([OnEnd, End = run_ended{Result, std::move(*Text)}](time_point Now) {
+      OnEnd(End, Now);
+    });
+  };
+  return Options.Dispatcher->start(std::move(Call), std::move(Sink));
+}
+
+void step_service::findRuns(const std::string &Pool, const std::string &Prefix,
+                            step_owner_options::find_callback OnFound) {
+  findRetainedRuns(
+      *Options.Client, Options.Directory->addressesOfPool(Pool), Prefix,
+      [this, OnFound = std::move(OnFound)](std::vector<retained_run> Runs) {
+        post([OnFound, Runs = std::move(Runs)](time_point Now) {
+          OnFound(Runs, Now);
+        });
+      });
+}
+
+http_reply step_service::weights(const trainer_call &Call) {
+  const weights_request Weights = parseWeights(Call.Body);
+  const auto Config = Options.Directory->config();
+  const trainer_rule *Rule = Config->findTrainer(Call.Trainer);
+  const json Document = {{"trainer", Call.Trainer},
+                         {"model", Rule->Model},
+                         {"version", Weights.Version},
+                         {"source", Weights.Source}};
+  if (!Options.InstallWeights(Call.Trainer, Weights.Version, Document.dump()))
+    throw input_error(409, "version_not_higher", "version",
+                      "a version above the newest one of the trainer");
+  http_reply Reply;
+  Reply.Body = json{{"version", Weights.Version}}.dump();
+  return Reply;
+}
+
+/// Answers its promise when it is dropped without an answer, so that no HTTP
+/// thread waits for a loop that has ended.
+struct pending_answer {
+  std::promise<step_answer> Promise;
+  bool Answered = false;
+  void answer(step_answer Answer) {
+    if (!std::exchange(Answered, true))
+      Promise.set_value(std::move(Answer));
+  }
+  ~pending_answer() { answer(shuttingDown()); }
+};
+
+step_answer step_service::local(const trainer_call &Call) {
+  if (Ring.size() > RingSize / 2)
+    return {errorReply(notRun("step_loop_busy", "too many calls wait")), {}};
+  auto Pending = std::make_shared<pending_answer>();
+  auto Future = Pending->Promise.get_future();
+  const bool Posted = post([this, Call, Pending](time_point Now) {
+    ownerOf(Call.Trainer)
+        .call(
+            Call, false,
+            [Pending](step_answer Answer) {
+              Pending->answer(std::move(Answer));
+            },
+            Now);
+  });
+  Pending.reset();
+  if (!Posted || Future.wait_for(CallTimeout) != std::future_status::ready)
+    return shuttingDown();
+  return Future.get();
+}
+
+http_reply step_service::call(const trainer_call &Call) {
+  if (Call.Kind == trainer_call::kind::Weights)
+    return weights(Call);
+  const step_answer Answer = local(Call);
+  if (Answer.ForwardTo.empty())
+    return Answer.Reply;
+  metrics::get().counter("trainer_calls_forwarded_total").add();
+  return forwardCall(*Options.Client, Answer.ForwardTo, Call);
+}
+
+void step_service::forwarded(trainer_call Call,
+                             std::function<void(http_reply)> Answer) {
+  const auto Config = Options.Directory->config();
+  if (!Config || !Config->findTrainer(Call.Trainer) ||
+      Call.Kind == trainer_call::kind::Weights) {
+    Answer(errorReply(notRun("not_owner", "this entry does not know the "
+                                          "trainer")));
+    return;
+  }
+  const auto Shared =
+      std::make_shared<std::function<void(http_reply)>>(std::move(Answer));
+  const auto Reply = [Shared](step_answer Given) {
+    if (*Shared)
+      std::exchange(*Shared, nullptr)(std::move(Given.Reply));
+  };
+  task Task = [this, Call = std::move(Call), Reply](time_point Now) {
+    ownerOf(Call.Trainer).call(Call, true, Reply, Now);
+  };
+  if (Ring.size() > RingSize / 2 || !Ring.tryPush(std::move(Task)))
+    Reply({errorReply(notRun("step_loop_busy", "too many calls wait")), {}});
+}
+
+} // namespace cardamom
--- /dev/null
+++ b/entry/step_service.h
@@ -0,0 +1,114 @@
+/// \file
+/// Runs the step owners of all trainers on one thread and connects them to the
+/// dispatcher, the store and the other entries.
+///
+/// Use:
+///   step_service Steps({.Dispatcher = &Dispatcher, .Store = &Store, ...});
+///   Steps.start();
+///   http_reply Reply = Steps.call(Call);          // HTTP thread, blocks
+///   Steps.forwarded(Call, [](http_reply) {...});  // inner server, does not
+///   Steps.release(); ... Steps.waitingFor(); ... Steps.stop();
+///
+/// The ring of the loop is bounded. Calls of trainers are refused when half of
+/// it is full; the other half is for ends of runs, of which there are no more
+/// than runs in flight.
+
+#ifndef CARDAMOM_ENTRY_STEP_SERVICE_H
+#define CARDAMOM_ENTRY_STEP_SERVICE_H
+
+#include "base/bounded_ring.h"
+#include "entry/step_owner.h"
+#include "inner/inner_client.h"
+
+#include <atomic>
+#include <functional>
+#include <map>
+#include <memory>
+#include <mutex>
+#include <string>
+#include <string_view>
+#include <thread>
+
+namespace cardamom {
+
+class dispatcher;
+class store_client;
+class upstream_directory;
+
+struct step_service_options {
+  dispatcher *Dispatcher = nullptr;
+  store_client *Store = nullptr;
+  upstream_directory *Directory = nullptr;
+  inner_client *Client = nullptr;
+  std::string Name;
+  /// Inner address under which other entries reach this one.
+  std::string Address;
+  uint64_t Incarnation = 0;
+  milliseconds Lease{10000};
+  /// Installs document "weights/{trainer}"; false when the version is not
+  /// higher than the one held.
+  std::function<bool(const std::string &Trainer, uint64_t Version,
+                     std::string Body)>
+      InstallWeights;
+};
+
+class step_service {
+public:
+  explicit step_service(step_service_options Options);
+  ~step_service();
+  step_service(const step_service &) = delete;
+  step_service &operator=(const step_service &) = delete;
+
+  void start();
+  /// Ends the loop; calls that still wait are answered 503.
+  void stop();
+  /// Hands all leases over.
+  void release();
+  /// What release() still waits for; empty when nothing.
+  [[nodiscard]] std::string waitingFor() const;
+
+  /// Serves or forwards a trainer's call; blocks up to its wait time.
+  http_reply call(const trainer_call &Call);
+  /// Serves a call that another entry has forwarded. Does not block.
+  void forwarded(trainer_call Call, std::function<void(http_reply)> Answer);
+  /// JSON array for "/status".
+  [[nodiscard]] nlohmann::json status() const;
+
+private:
+  using task = std::function<void(time_point Now)>;
+
+  void run();
+  void tick(time_point Now);
+  /// Store calls block, so a thread of their own makes them.
+  void runStore();
+  bool post(task Task);
+  step_owner &ownerOf(const std::string &Trainer);
+  step_owner_options ownerOptions(const std::string &Trainer);
+  lease_keeper_options leaseOptions(const std::string &Trainer);
+  http_reply weights(const trainer_call &Call);
+  step_answer local(const trainer_call &Call);
+  dispatch_id dispatch(dispatch_call Call,
+                       std::shared_ptr<run_progress> Progress,
+                       step_owner_options::run_callback OnEnd);
+  void findRuns(const std::string &Pool, const std::string &Prefix,
+                step_owner_options::find_callback OnFound);
+  void publishStatus();
+
+  step_service_options Options;
+  bounded_ring<task> Ring;
+  bounded_ring<std::function<void()>> StoreRing;
+  std::thread Loop;
+  std::thread StoreThread;
+  std::atomic<bool> Stopping{false};
+  // Of the loop's thread alone.
+  std::map<std::string, std::unique_ptr<step_owner>> Owners;
+  bool Releasing = false;
+
+  mutable std::mutex StatusMutex;
+  std::string StatusJson = "[]";
+  std::string Waiting;
+};
+
+} // namespace cardamom
+
+#endif // CARDAMOM_ENTRY_STEP_SERVICE_H
