Wire the entry and test the step owner by simulation

Cause: the parts need one process, and the promises about samples need a test under crashes, pauses, takeovers and lost answers. The entry compiles and has not been run yet.

--- a/entry/dispatcher.cpp
+++ b/entry/dispatcher.cpp
@@ -222,6 +222,15 @@
   return Best ? Router.predictMs(Request, Views[*Best], Now) : -1;
 }
 
+double dispatcher::predictMsOn(const upstream_view &Upstream, double Work,
+                               time_point Now) {
+  route_request Request;
+  Request.Work = Work;
+  Request.OwnFailureDomain = Options.OwnFailureDomain;
+  std::lock_guard Lock(RouterMutex);
+  return Router.predictMs(Request, Upstream, Now);
+}
+
 // Rendezvous hashing: each key has its own order of upstreams, and an upstream
 // that leaves moves only its own keys.
 static std::optional<upstream_view>
--- a/entry/dispatcher.h
+++ b/entry/dispatcher.h
@@ -115,6 +115,10 @@
                                  uint64_t MinVersion, const std::string &Except,
                                  time_point Now);
 
+  /// Predicted time of Work on one upstream. Thread-safe.
+  [[nodiscard]] double predictMsOn(const upstream_view &Upstream, double Work,
+                                   time_point Now);
+
 private:
   struct request;
   using task = std::function<void(time_point Now)>;
--- /dev/null
+++ b/entry/entry.cpp
@@ -0,0 +1,336 @@
+#include "entry/entry.h"
+
+#include "base/log.h"
+#include "entry/entry_state.h"
+#include "entry/forwarding.h"
+#include "inner/gen/messages.pb.h"
+
+#include <httplib.h>
+#include <nlohmann/json.hpp>
+#include <random>
+#include <stdexcept>
+#include <utility>
+
+namespace cardamom {
+
+// How long drain() waits for the store to take the leases back. Without it they
+// expire by themselves.
+static constexpr milliseconds ReleaseLimit{3000};
+static constexpr milliseconds DrainPoll{20};
+
+static uint64_t randomIncarnation() {
+  std::random_device Device;
+  uint64_t Value = 0;
+  while (Value == 0)
+    Value = (uint64_t(Device()) << 32) | Device();
+  return Value;
+}
+
+static entry_options complete(entry_options Options) {
+  if (Options.Incarnation == 0)
+    Options.Incarnation = randomIncarnation();
+  return Options;
+}
+
+namespace {
+struct listen_address {
+  std::string Host;
+  uint16_t Port = 0;
+};
+} // namespace
+
+static listen_address parseListen(const std::string &Text) {
+  const size_t Colon = Text.rfind(':');
+  if (Colon == std::string::npos || Colon == 0)
+    throw std::invalid_argument("listen address \"" + Text +
+                                "\" is not IP:port");
+  const unsigned long Port = std::stoul(Text.substr(Colon + 1));
+  if (Port > UINT16_MAX)
+    throw std::invalid_argument("port of \"" + Text + "\" is above 65535");
+  return {Text.substr(0, Colon), uint16_t(Port)};
+}
+
+entry::state::state(entry_options Given)
+    : Options(complete(std::move(Given))), Store({.Address = Options.Store}),
+      Directory({.EntryName = Options.Name}),
+      Documents({.Validate =
+                     [this](const versioned_document &Document) {
+                       validate(Document);
+                     },
+                 .OnInstall =
+                     [this](const versioned_document &Document) {
+                       onInstall(Document);
+                     }}),
+      Client(clientOptions()), Server(serverOptions()),
+      Dispatcher(dispatcherOptions()) {}
+
+entry::state::~state() { stop(); }
+
+peer_identity entry::state::self() const {
+  return {.Name = Options.Name,
+          .Incarnation = Options.Incarnation,
+          .FailureDomain = Options.FailureDomain,
+          .Build = Options.Build,
+          .Role = "entry"};
+}
+
+inner_client_options entry::state::clientOptions() {
+  inner_client_options Hooks;
+  Hooks.Self = self();
+  Hooks.OnPeerUp = [this](std::string_view Address, const peer_identity &Peer,
+                          uint64_t Epoch) {
+    Directory.onPeerUp(Address, Peer, Epoch);
+    Dispatcher.onPeerUp(Address, Peer, Epoch);
+    Client.sendControl(Address, heartbeat());
+  };
+  Hooks.OnPeerDown = [this](std::string_view Address, std::string_view) {
+    Directory.onPeerDown(Address);
+    Dispatcher.onPeerDown(Address);
+  };
+  Hooks.OnControl = [this](std::string_view Address, const peer_identity &,
+                           const wire::control_frame &Frame) {
+    if (Frame.has_heartbeat())
+      Directory.onHeartbeat(Address, Frame.heartbeat(), steady_clock::now());
+    std::vector<wire::control_frame> Replies;
+    handleControl(Frame, Replies);
+    for (const wire::control_frame &Reply : Replies)
+      Client.sendControl(Address, Reply);
+  };
+  return Hooks;
+}
+
+inner_server_options entry::state::serverOptions() {
+  const listen_address Listen = parseListen(Options.InnerListen);
+  inner_server_options Hooks;
+  Hooks.Host = Listen.Host;
+  Hooks.Port = Listen.Port;
+  Hooks.Self = self();
+  Hooks.OnPeerUp = [this](const peer_identity &Peer, uint64_t) {
+    Server.sendControl(Peer, heartbeat());
+  };
+  Hooks.OnControl = [this](const peer_identity &Peer,
+                           const wire::control_frame &Frame) {
+    std::vector<wire::control_frame> Replies;
+    handleControl(Frame, Replies);
+    for (const wire::control_frame &Reply : Replies)
+      Server.sendControl(Peer, Reply);
+  };
+  Hooks.OnRequest = [this](std::shared_ptr<server_stream> Stream,
+                           std::string_view Path, std::string_view Message) {
+    step_service *Service = ServingSteps.load();
+    if (Service && (Path == "/draw" || Path == "/submit"))
+      serveForwarded(*Service, std::move(Stream), Message);
+    else
+      Stream->finish();
+  };
+  return Hooks;
+}
+
+dispatcher_options entry::state::dispatcherOptions() {
+  dispatcher_options Links;
+  Links.Open = [this](std::string_view Address, std::string_view Path,
+                      std::string_view Message, stream_hooks Hooks) {
+    return Client.open(Address, Path, Message, std::move(Hooks));
+  };
+  Links.CancelStream = [this](inner_client::stream_id Id) {
+    Client.cancel(Id);
+  };
+  Links.HoldWindow = [this](inner_client::stream_id Id) {
+    Client.holdWindow(Id);
+  };
+  Links.Consume = [this](inner_client::stream_id Id, size_t Bytes) {
+    Client.consume(Id, Bytes);
+  };
+  Links.Views = [this](std::string_view Pool) { return Directory.views(Pool); };
+  Links.AddressOf = [this](std::string_view Name) {
+    return Directory.addressOf(Name);
+  };
+  Links.EnsurePeer = [this](std::string_view Address) {
+    Client.addPeer(Address);
+  };
+  Links.ConfigVersion = [this] { return Config.version(); };
+  // Used by the dispatcher under its locks only.
+  const auto Generator = std::make_shared<std::minstd_rand>(
+      std::minstd_rand::result_type(Options.Incarnation));
+  const auto Mutex = std::make_shared<std::mutex>();
+  Links.Random = [Generator, Mutex] {
+    std::lock_guard Lock(*Mutex);
+    return std::uniform_real_distribution<>(0, 1)(*Generator);
+  };
+  Links.Trace = [this](std::string_view Id, std::string_view Event,
+                       std::string_view Detail,
+                       time_point Now) { Trace.add(Id, Event, Detail, Now); };
+  Links.OwnFailureDomain = Options.FailureDomain;
+  return Links;
+}
+
+step_service_options entry::state::stepOptions() {
+  step_service_options Links;
+  Links.Dispatcher = &Dispatcher;
+  Links.Store = &Store;
+  Links.Directory = &Directory;
+  Links.Client = &Client;
+  Links.Name = Options.Name;
+  Links.Address = parseListen(Options.InnerListen).Host + ":" +
+                  std::to_string(Server.port());
+  Links.Incarnation = Options.Incarnation;
+  Links.Lease = Options.Lease;
+  Links.InstallWeights = [this](const std::string &Trainer, uint64_t Version,
+                                std::string Body) {
+    return Documents.install({"weights/" + Trainer, Version, std::move(Body)});
+  };
+  Links.HoldsWeights = [this](const std::string &Trainer, uint64_t Version,
+                              const std::string &Body) {
+    const auto Held = Documents.get("weights/" + Trainer);
+    return Held && Held->Version == Version && Held->Body == Body;
+  };
+  return Links;
+}
+
+http_front_options entry::state::frontOptions() {
+  const listen_address Listen = parseListen(Options.HttpListen);
+  http_front_options Links;
+  Links.Host = Listen.Host;
+  Links.Port = Listen.Port;
+  Links.Threads = Options.HttpThreads;
+  Links.Dispatcher = &Dispatcher;
+  Links.Config = [this] { return Config.get(); };
+  Links.Refusal = [this] { return refusal(); };
+  Links.NotReady = [this] { return notReady(); };
+  Links.Draining = [this] { return Draining.load(); };
+  Links.Trainer = [this](const trainer_call &Call) {
+    return Steps->call(Call);
+  };
+  Links.Operator = [this](const httplib::Request &Request) {
+    return Pages->page(Request);
+  };
+  return Links;
+}
+
+std::optional<verdict> entry::state::refusal() const {
+  if (Config.version() == 0)
+    return verdict{.Certainty = run_certainty::NotRun,
+                   .Reason = "configuration_unknown",
+                   .Message = "no configuration is known yet",
+                   .RetryAfter = milliseconds(500)};
+  if (Pauses.holding(steady_clock::now()))
+    return verdict{.Certainty = run_certainty::NotRun,
+                   .Reason = "configuration_unconfirmed",
+                   .Message = "this entry was paused and confirms its "
+                              "configuration",
+                   .RetryAfter = milliseconds(500)};
+  return std::nullopt;
+}
+
+std::optional<verdict> entry::state::notReady() const {
+  if (Draining)
+    return verdict{.Certainty = run_certainty::NotRun,
+                   .Reason = "draining",
+                   .Message = "this entry is shutting down",
+                   .RetryAfter = milliseconds(1000)};
+  return refusal();
+}
+
+void entry::state::start() {
+  operator_pages_options Links;
+  Links.Name = Options.Name;
+  Links.Incarnation = Options.Incarnation;
+  Links.FailureDomain = Options.FailureDomain;
+  Links.Directory = &Directory;
+  Links.Trace = &Trace;
+  Links.Dispatcher = &Dispatcher;
+  Links.Ready = [this] { return !notReady(); };
+  Links.Draining = [this] { return Draining.load(); };
+  Links.InFlight = [this] { return Front->inFlight(); };
+  Links.WaitingFor = [this] { return waitingFor(); };
+  Links.Trainers = [this] { return Steps->status(); };
+  Pages = std::make_unique<operator_pages>(std::move(Links));
+  // The step service needs the port; until it runs, requests of peers end
+  // without an answer.
+  Server.start();
+  Steps = std::make_unique<step_service>(stepOptions());
+  Steps->start();
+  ServingSteps = Steps.get();
+  Client.start();
+  for (const std::string &Address : Options.SeedPeers)
+    Client.addPeer(Address);
+  DispatcherThread = std::thread([this] { Dispatcher.run(); });
+  Front = std::make_unique<http_front>(frontOptions());
+  Front->start();
+  Started = true;
+  ConfigThread = std::thread([this] { watchConfiguration(); });
+  VmThread = std::thread([this] { watchVms(); });
+  TickerThread = std::thread([this] { runTicker(); });
+  logState("entry_started", {{"name", Options.Name},
+                             {"http_port", std::to_string(Front->port())},
+                             {"inner_port", std::to_string(Server.port())}});
+}
+
+std::string entry::state::waitingFor() const {
+  if (!Draining || !Front)
+    return {};
+  std::string What;
+  if (const size_t Calls = Front->inFlight(); Calls > 0)
+    What = std::to_string(Calls) + " calls in flight";
+  if (const std::string Lease = Steps->waitingFor(); !Lease.empty())
+    What += (What.empty() ? "" : ", ") + Lease;
+  return What;
+}
+
+void entry::state::drain() {
+  if (!Started || Draining.exchange(true))
+    return;
+  logState("draining", {{"name", Options.Name}});
+  sendHeartbeats();
+  if (!sleep(Options.DrainNotice))
+    return;
+  Steps->release();
+  const time_point ReleaseUntil = steady_clock::now() + ReleaseLimit;
+  while (!Steps->waitingFor().empty() && steady_clock::now() < ReleaseUntil)
+    if (!sleep(DrainPoll))
+      return;
+  // Returns after the last call in flight.
+  Front->stop();
+  logState("drained", {{"name", Options.Name}});
+  stop();
+}
+
+void entry::state::stop() {
+  {
+    std::lock_guard Lock(StopMutex);
+    if (Stopping)
+      return;
+    Stopping = true;
+  }
+  StopChanged.notify_all();
+  Store.stopWatches();
+  // Ends the requests in flight, and with them the HTTP threads that wait.
+  Dispatcher.stop();
+  if (Steps)
+    Steps->stop();
+  Client.stop();
+  if (Front)
+    Front->stop();
+  joinThreads();
+  Server.stop();
+}
+
+void entry::state::joinThreads() {
+  for (std::thread *Thread :
+       {&DispatcherThread, &ConfigThread, &VmThread, &TickerThread})
+    if (Thread->joinable())
+      Thread->join();
+}
+
+entry::entry(entry_options Options)
+    : State(std::make_unique<state>(std::move(Options))) {}
+entry::~entry() = default;
+void entry::start() { State->start(); }
+void entry::drain() { State->drain(); }
+void entry::stop() { State->stop(); }
+std::string entry::waitingFor() const { return State->waitingFor(); }
+bool entry::ready() const { return !State->notReady(); }
+uint16_t entry::innerPort() const { return State->Server.port(); }
+uint16_t entry::httpPort() const { return State->Front->port(); }
+
+} // namespace cardamom
--- /dev/null
+++ b/entry/entry_state.h
@@ -0,0 +1,105 @@
+/// \file
+/// Parts of an entry and the threads that connect them.
+
+#ifndef CARDAMOM_ENTRY_ENTRY_STATE_H
+#define CARDAMOM_ENTRY_ENTRY_STATE_H
+
+#include "config/config_holder.h"
+#include "entry/dispatcher.h"
+#include "entry/entry.h"
+#include "entry/http_front.h"
+#include "entry/operator_pages.h"
+#include "entry/pause_detector.h"
+#include "entry/step_service.h"
+#include "entry/trace_ring.h"
+#include "entry/upstream_directory.h"
+#include "inner/document_exchange.h"
+#include "inner/inner_client.h"
+#include "inner/inner_server.h"
+#include "store/store_client.h"
+
+#include <atomic>
+#include <condition_variable>
+#include <memory>
+#include <mutex>
+#include <optional>
+#include <set>
+#include <string>
+#include <string_view>
+#include <thread>
+
+namespace cardamom {
+
+struct entry::state {
+  explicit state(entry_options Options);
+  ~state();
+
+  void start();
+  void drain();
+  void stop();
+  [[nodiscard]] std::string waitingFor() const;
+
+  // Options of the parts.
+  [[nodiscard]] peer_identity self() const;
+  dispatcher_options dispatcherOptions();
+  inner_client_options clientOptions();
+  inner_server_options serverOptions();
+  step_service_options stepOptions();
+  http_front_options frontOptions();
+
+  // Documents.
+  void validate(const versioned_document &Document) const;
+  void onInstall(const versioned_document &Document);
+  void onConfiguration(std::shared_ptr<const configuration> Config);
+  void handleControl(const wire::control_frame &Frame,
+                     std::vector<wire::control_frame> &Replies);
+  void installFromStore(const char *Name, const store_result &Result);
+  void sendHeartbeats();
+  [[nodiscard]] wire::control_frame heartbeat();
+
+  // Threads.
+  void watchConfiguration();
+  void watchVms();
+  void runTicker();
+  /// Sleeps up to For; returns false when the entry stops.
+  bool sleep(milliseconds For);
+  void joinThreads();
+
+  [[nodiscard]] std::optional<verdict> refusal() const;
+  [[nodiscard]] std::optional<verdict> notReady() const;
+  void onOrderedHeartbeat(const wire::heartbeat &Heartbeat, time_point Now);
+
+  entry_options Options;
+  store_client Store;
+  upstream_directory Directory;
+  config_holder Config;
+  trace_ring Trace;
+  pause_detector Pauses;
+  document_exchange Documents;
+  inner_client Client;
+  inner_server Server;
+  dispatcher Dispatcher;
+  std::unique_ptr<step_service> Steps;
+  /// Set once the service runs.
+  std::atomic<step_service *> ServingSteps{nullptr};
+  std::unique_ptr<http_front> Front;
+  std::unique_ptr<operator_pages> Pages;
+
+  std::atomic<bool> Draining{false};
+  std::atomic<bool> Started{false};
+  std::atomic<uint64_t> HeartbeatSequence{0};
+  std::mutex PeersMutex;
+  std::set<std::string> AgentPeers;
+  mutable std::mutex StopMutex;
+  std::condition_variable StopChanged;
+  bool Stopping = false;
+  bool HeartbeatDue = false;
+  std::thread DispatcherThread;
+  std::thread ConfigThread;
+  std::thread VmThread;
+  std::thread TickerThread;
+};
+
+} // namespace cardamom
+
+#endif // CARDAMOM_ENTRY_ENTRY_STATE_H
--- /dev/null
+++ b/entry/entry_threads.cpp
@@ -0,0 +1,178 @@
+#include "base/log.h"
+#include "base/metrics.h"
+#include "entry/entry_state.h"
+#include "inner/gen/messages.pb.h"
+
+#include <nlohmann/json.hpp>
+#include <stdexcept>
+#include <utility>
+
+namespace cardamom {
+
+static constexpr const char *ConfigKey = "config/current";
+static constexpr const char *ConfigDocument = "config";
+static constexpr const char *VmsDocument = "vms";
+static constexpr milliseconds WatchWait{10000};
+static constexpr milliseconds StoreRetry{250};
+static constexpr milliseconds VmInterval{1000};
+static constexpr milliseconds HeartbeatInterval{1000};
+static constexpr milliseconds TickInterval{100};
+
+static std::set<std::string> parseLeaving(std::string_view Json) {
+  std::set<std::string> Leaving;
+  for (const auto &Vm : nlohmann::json::parse(Json).at("vms"))
+    if (Vm.at("state").get<std::string>() == "leaving")
+      Leaving.insert(Vm.at("vm").get<std::string>());
+  return Leaving;
+}
+
+void entry::state::validate(const versioned_document &Document) const {
+  if (Document.Name == ConfigDocument)
+    parseConfigurationDocument(Document.Body, Document.Version);
+  else if (Document.Name == VmsDocument)
+    parseLeaving(Document.Body);
+  else if (!Document.Name.starts_with("weights/"))
+    throw std::invalid_argument("unknown document \"" + Document.Name + "\"");
+}
+
+void entry::state::onInstall(const versioned_document &Document) {
+  if (Document.Name == ConfigDocument)
+    onConfiguration(std::make_shared<const configuration>(
+        parseConfigurationDocument(Document.Body, Document.Version)));
+  else if (Document.Name == VmsDocument)
+    Directory.setLeavingVms(parseLeaving(Document.Body));
+  {
+    std::lock_guard Lock(StopMutex);
+    HeartbeatDue = true;
+  }
+  StopChanged.notify_all();
+}
+
+void entry::state::onConfiguration(std::shared_ptr<const configuration> Next) {
+  if (!Config.install(Next))
+    return;
+  Directory.setConfiguration(Next);
+  Dispatcher.setEntries(Directory.entries());
+  const std::vector<std::string> Wanted = Directory.agentAddresses();
+  std::set<std::string> Now(Wanted.begin(), Wanted.end());
+  std::lock_guard Lock(PeersMutex);
+  for (const std::string &Address : Now)
+    if (!AgentPeers.contains(Address))
+      Client.addPeer(Address);
+  for (const std::string &Address : AgentPeers)
+    if (!Now.contains(Address))
+      Client.removePeer(Address);
+  AgentPeers = std::move(Now);
+  logState(
+      "configuration_in_force",
+      {{"version", std::to_string(Next->Version)}, {"edit_id", Next->EditId}});
+}
+
+// A peer that lists the same or a lower version as of now confirms that this
+// process has missed nothing during a pause.
+void entry::state::onOrderedHeartbeat(const wire::heartbeat &Heartbeat,
+                                      time_point Now) {
+  for (const wire::document_version &Entry : Heartbeat.documents())
+    if (Entry.name() == ConfigDocument && Entry.version() <= Config.version())
+      Pauses.confirm(Now);
+}
+
+void entry::state::handleControl(const wire::control_frame &Frame,
+                                 std::vector<wire::control_frame> &Replies) {
+  if (Frame.has_heartbeat())
+    onOrderedHeartbeat(Frame.heartbeat(), steady_clock::now());
+  Replies = Documents.handle(Frame);
+  if (Frame.has_document() && Frame.document().name() == ConfigDocument &&
+      Frame.document().version() <= Config.version())
+    Pauses.confirm(steady_clock::now());
+}
+
+wire::control_frame entry::state::heartbeat() {
+  wire::control_frame Frame;
+  wire::heartbeat &Heartbeat = *Frame.mutable_heartbeat();
+  Documents.addVersions(Heartbeat);
+  Heartbeat.set_draining(Draining);
+  Heartbeat.set_sequence(++HeartbeatSequence);
+  return Frame;
+}
+
+void entry::state::sendHeartbeats() {
+  const wire::control_frame Frame = heartbeat();
+  Client.broadcastControl(Frame);
+  Server.broadcastControl(Frame);
+}
+
+bool entry::state::sleep(milliseconds For) {
+  std::unique_lock Lock(StopMutex);
+  return !StopChanged.wait_for(Lock, For, [&] { return Stopping; });
+}
+
+void entry::state::installFromStore(const char *Name,
+                                    const store_result &Result) {
+  try {
+    Documents.install({Name, Result.Version, Result.Value});
+  } catch (const std::exception &Error) {
+    metrics::get().counter("documents_rejected_total").add();
+    logFault("document_rejected", {{"name", Name},
+                                   {"version", std::to_string(Result.Version)},
+                                   {"error", Error.what()}});
+  }
+}
+
+void entry::state::watchConfiguration() {
+  // Also above a version that was rejected, or its watch would return at once
+  // again and again.
+  uint64_t Seen = 0;
+  while (sleep(milliseconds(0))) {
+    const uint64_t After = std::max(Seen, Documents.version(ConfigDocument));
+    const time_point Asked = steady_clock::now();
+    const store_result Result = Store.watch(ConfigKey, After, WatchWait);
+    metrics::get()
+        .counter("store_watch_results_total", "status", toString(Result.Status))
+        .add();
+    if (Result.Status == store_status::Ok) {
+      Seen = std::max(Seen, Result.Version);
+      installFromStore(ConfigDocument, Result);
+      // An answer to a question from before the pause confirms nothing.
+      if (!Pauses.heldSince(Asked))
+        Pauses.confirm(steady_clock::now());
+    } else if (Result.Status != store_status::Unchanged) {
+      sleep(std::max(StoreRetry, Result.RetryAfter));
+    }
+  }
+}
+
+void entry::state::watchVms() {
+  while (sleep(VmInterval)) {
+    const store_result Result = Store.vms();
+    if (Result.Status == store_status::Ok &&
+        Result.Version > Documents.version(VmsDocument))
+      installFromStore(VmsDocument, Result);
+  }
+}
+
+void entry::state::runTicker() {
+  time_point NextHeartbeat{};
+  while (true) {
+    bool Due = false;
+    {
+      std::unique_lock Lock(StopMutex);
+      StopChanged.wait_for(Lock, TickInterval,
+                           [&] { return Stopping || HeartbeatDue; });
+      if (Stopping)
+        return;
+      Due = std::exchange(HeartbeatDue, false);
+    }
+    const time_point Now = steady_clock::now();
+    if (Pauses.tick(Now)) {
+      metrics::get().counter("pauses_detected_total").add();
+      logState("pause_detected", {{"name", Options.Name}});
+    }
+    if (!Due && Now < NextHeartbeat)
+      continue;
+    sendHeartbeats();
+    NextHeartbeat = Now + HeartbeatInterval;
+  }
+}
+
+} // namespace cardamom
--- /dev/null
+++ b/entry/pause_detector.h
@@ -0,0 +1,80 @@
+/// \file
+/// Detects that this process was paused, and holds new work back until its
+/// configuration version has been confirmed.
+///
+/// Use:
+///   Detector.tick(Now);                       // every 100 ms
+///   Detector.confirm(Now);                    // a peer or the store agreed
+///   if (Detector.holding(Now)) refuse new work
+///
+/// Thread-safe.
+
+#ifndef CARDAMOM_ENTRY_PAUSE_DETECTOR_H
+#define CARDAMOM_ENTRY_PAUSE_DETECTOR_H
+
+#include "base/time.h"
+
+#include <mutex>
+
+namespace cardamom {
+
+struct pause_detector_options {
+  /// Gap between ticks that counts as a pause.
+  milliseconds Gap{2000};
+  /// Work is admitted after this time even if nobody answers.
+  milliseconds HoldLimit{2000};
+  /// Messages that arrive earlier after the pause may have waited in the
+  /// socket all the time and confirm nothing.
+  milliseconds Settle{200};
+};
+
+class pause_detector {
+public:
+  explicit pause_detector(pause_detector_options Options = {})
+      : Options(Options) {}
+
+  /// Returns true when a pause has just been detected.
+  bool tick(time_point Now) {
+    std::lock_guard Lock(Mutex);
+    const bool Paused = Last != time_point() && Now - Last > Options.Gap;
+    Last = Now;
+    if (Paused) {
+      Holding = true;
+      HeldSince = Now;
+    }
+    if (Holding && Now - HeldSince >= Options.HoldLimit)
+      Holding = false;
+    return Paused;
+  }
+
+  void confirm(time_point Now) {
+    std::lock_guard Lock(Mutex);
+    // After a pause the confirmation may come before the first tick.
+    if (Last != time_point() && Now - Last > Options.Gap)
+      return;
+    if (Holding && Now - HeldSince >= Options.Settle)
+      Holding = false;
+  }
+
+  [[nodiscard]] bool holding(time_point Now) const {
+    std::lock_guard Lock(Mutex);
+    return Holding || (Last != time_point() && Now - Last > Options.Gap);
+  }
+
+  /// Whether a pause was detected after At.
+  [[nodiscard]] bool heldSince(time_point At) const {
+    std::lock_guard Lock(Mutex);
+    return HeldSince >= At;
+  }
+
+private:
+  const pause_detector_options Options;
+  mutable std::mutex Mutex;
+  time_point Last{};
+  bool Holding = false;
+  time_point HeldSince{};
+};
+
+} // namespace cardamom
+
+#endif // CARDAMOM_ENTRY_PAUSE_DETECTOR_H
--- a/entry/step_service.cpp
+++ b/entry/step_service.cpp
@@ -250,7 +250,10 @@
                          {"model", Rule->Model},
                          {"version", Weights.Version},
                          {"source", Weights.Source}};
-  if (!Options.InstallWeights(Call.Trainer, Weights.Version, Document.dump()))
+  // A repeated call, after its answer was lost, finds its own document.
+  const std::string Body = Document.dump();
+  if (!Options.InstallWeights(Call.Trainer, Weights.Version, Body) &&
+      !Options.HoldsWeights(Call.Trainer, Weights.Version, Body))
     throw input_error(409, "version_not_higher", "version",
                       "a version above the newest one of the trainer");
   http_reply Reply;
--- a/entry/step_service.h
+++ b/entry/step_service.h
@@ -50,6 +50,10 @@
   std::function<bool(const std::string &Trainer, uint64_t Version,
                      std::string Body)>
       InstallWeights;
+  /// Whether exactly this document is held.
+  std::function<bool(const std::string &Trainer, uint64_t Version,
+                     const std::string &Body)>
+      HoldsWeights;
 };
 
 class step_service {
--- /dev/null
+++ b/entry/step_simulation.h
@@ -0,0 +1,511 @@
+/// \file
+/// Simulated entries, store, engines and trainer around real step owners, for
+/// tests. Everything runs on one thread in simulated time from one seed.
+
+#ifndef CARDAMOM_ENTRY_STEP_SIMULATION_H
+#define CARDAMOM_ENTRY_STEP_SIMULATION_H
+
+#include "entry/step_owner.h"
+#include "inner/gen/messages.pb.h"
+
+#include <functional>
+#include <map>
+#include <memory>
+#include <nlohmann/json.hpp>
+#include <random>
+#include <set>
+#include <sstream>
+#include <string>
+#include <vector>
+
+namespace cardamom {
+
+class step_simulation {
+public:
+  static constexpr unsigned Entries = 3;
+  static constexpr unsigned Groups = 3;
+  static constexpr unsigned PerGroup = 4;
+  static constexpr unsigned MaxTokens = 12;
+  static constexpr uint64_t Bound = 1;
+  static constexpr uint64_t Steps = 4;
+
+  struct counts {
+    unsigned Crashes = 0;
+    unsigned Pauses = 0;
+    unsigned Takeovers = 0;
+    unsigned LostAnswers = 0;
+    unsigned Adopted = 0;
+    unsigned Resumed = 0;
+  };
+
+  explicit step_simulation(uint32_t Seed) : Random(Seed) {
+    auto Config = std::make_shared<configuration>();
+    Config->Trainers.push_back({.Name = "t",
+                                .Priority = 1,
+                                .Model = "m",
+                                .StalenessBound = Bound,
+                                .Scorer = {}});
+    Configuration = Config;
+    for (unsigned I = 0; I < Entries; ++I)
+      startEntry(I);
+  }
+
+  /// Returns an empty text when every promise held.
+  std::string run() {
+    static constexpr int MaxTicks = 40000;
+    for (int I = 0; I < MaxTicks && Fault.empty() && Step <= Steps; ++I)
+      tick();
+    if (Fault.empty() && Step <= Steps)
+      Fault = "step " + std::to_string(Step) + " did not end; " +
+              std::to_string(Have.size()) + " samples";
+    return Fault;
+  }
+
+  counts Counts;
+
+private:
+  struct simulated_entry {
+    std::unique_ptr<step_owner> Owner;
+    uint64_t Generation = 0;
+    bool Alive = false;
+    time_point PausedUntil{};
+    time_point RestartAt{};
+  };
+  struct event {
+    unsigned Entry;
+    uint64_t Generation;
+    std::function<void(time_point)> Action;
+  };
+  struct stored {
+    uint64_t Version = 0;
+    std::string Value;
+  };
+  struct engine_run {
+    std::string Sample;
+    uint32_t From = 0;
+    std::vector<uint64_t> Versions;
+    time_point StartedAt;
+    milliseconds PerToken{0};
+    outcome_kind Kind = outcome_kind::Completed;
+    uint32_t StopAfter = MaxTokens;
+    bool Cancelled = false;
+    std::shared_ptr<run_progress> Progress;
+    step_owner_options::run_callback OnEnd;
+    unsigned Entry = 0;
+    uint64_t Generation = 0;
+    bool Ended = false;
+  };
+
+  bool chance(double P) {
+    return std::uniform_real_distribution<>(0, 1)(Random) < P;
+  }
+  unsigned below(unsigned N) {
+    return std::uniform_int_distribution<unsigned>(0, N - 1)(Random);
+  }
+  milliseconds delay(unsigned MaxMs) { return milliseconds(below(MaxMs) + 1); }
+
+  void later(unsigned Entry, milliseconds After,
+             std::function<void(time_point)> Action) {
+    Events.emplace(Now + After,
+                   event{Entry, List[Entry].Generation, std::move(Action)});
+  }
+
+  void startEntry(unsigned I) {
+    simulated_entry &E = List[I];
+    E.Generation = ++LastGeneration;
+    E.Alive = true;
+    E.PausedUntil = {};
+    step_owner_options O;
+    O.Trainer = "t";
+    O.Lease.Key = "trainers/t";
+    O.Lease.Self.Owner = "entry-" + std::to_string(I);
+    O.Lease.Self.Address = std::to_string(I);
+    O.Lease.Self.Incarnation = E.Generation;
+    O.Lease.Get = [this, I](const std::string &Key, auto Answer) {
+      storeCall(
+          I, [this, Key] { return get(Key); }, Answer);
+    };
+    O.Lease.Put = [this, I](const std::string &Key, const std::string &Value,
+                            uint64_t IfVersion, auto Answer) {
+      storeCall(
+          I, [=, this] { return put(Key, Value, IfVersion); }, Answer);
+    };
+    O.Config = [this] { return Configuration; };
+    O.Dispatch = [this, I](dispatch_call Call, auto Progress, auto OnEnd) {
+      return dispatch(I, Call, Progress, OnEnd);
+    };
+    O.Cancel = [this](dispatch_id Id) { Runs.at(Id).Cancelled = true; };
+    O.Abandon = [this](dispatch_id Id) {
+      Runs.at(Id).Cancelled = true;
+      Runs.at(Id).OnEnd = nullptr;
+    };
+    O.Release = [this](dispatch_id Id) { Runs.at(Id).OnEnd = nullptr; };
+    O.Acknowledge = [this](const std::string &, const std::string &Id) {
+      Retained.erase(Id);
+    };
+    O.FindRuns = [this, I](const std::string &, const std::string &Prefix,
+                           auto OnFound) {
+      later(I, delay(800), [this, Prefix, OnFound](time_point At) {
+        OnFound(findRuns(Prefix), At);
+      });
+    };
+    O.PredictMs = [](auto &&...) { return 50.0; };
+    O.Slots = [](const std::string &) { return 4U; };
+    O.NewId = [this] { return "r" + std::to_string(++LastId); };
+    O.Straggler.MinElapsed = milliseconds(300);
+    O.Straggler.MinRemaining = milliseconds(300);
+    E.Owner = std::make_unique<step_owner>(std::move(O));
+  }
+
+  store_result get(const std::string &Key) {
+    const auto It = Objects.find(Key);
+    if (It == Objects.end())
+      return {.Status = store_status::NotFound};
+    return {.Status = store_status::Ok,
+            .Version = It->second.Version,
+            .Value = It->second.Value};
+  }
+
+  store_result put(const std::string &Key, const std::string &Value,
+                   uint64_t IfVersion) {
+    stored &Object = Objects[Key];
+    if (Object.Version != IfVersion)
+      return {.Status = store_status::Conflict, .Version = Object.Version};
+    Object = {Object.Version + 1, Value};
+    return {.Status = store_status::Ok, .Version = Object.Version};
+  }
+
+  template <typename answer>
+  void storeCall(unsigned Entry, std::function<store_result()> Work,
+                 answer Answer) {
+    // The call takes effect when it reaches the store, even if its caller has
+    // crashed or is paused by then.
+    const milliseconds Reach = delay(40);
+    Effects.emplace(
+        Now + Reach, [=, this, Generation = List[Entry].Generation] {
+          store_result Result;
+          if (Now >= OutageUntil)
+            Result = Work();
+          if (Result.Status == store_status::Ok && chance(0.05))
+            Result = {.Status = store_status::Unknown};
+          if (List[Entry].Generation == Generation)
+            later(Entry, delay(40),
+                  [Answer, Result](time_point At) { Answer(Result, At); });
+        });
+  }
+
+  dispatch_id dispatch(unsigned Entry, const dispatch_call &Call,
+                       std::shared_ptr<run_progress> Progress,
+                       step_owner_options::run_callback OnEnd) {
+    const dispatch_id Id = ++LastRun;
+    const wire::run_request &Request = *Call.Request;
+    const auto Old = Retained.find(Request.request_id());
+    if (!Call.AdoptFrom.empty()) {
+      ++Counts.Adopted;
+      if (Old == Retained.end()) {
+        endLater(Entry, OnEnd, {.Kind = outcome_kind::NeverSeen}, "");
+        Runs[Id].Ended = true;
+        return Id;
+      }
+      Runs[Id] = Runs.at(Old->second);
+      Runs.at(Old->second).Ended = true;
+      Old->second = Id;
+    } else {
+      engine_run &Run = Runs[Id];
+      Run.Sample = Request.sample();
+      Run.From = Request.model().resume_tokens();
+      Run.StartedAt = Now;
+      // One run in ten is a straggler.
+      Run.PerToken = chance(0.1) ? milliseconds(800) : delay(60);
+      chooseFate(Run);
+      Counts.Resumed += Run.From > 0;
+      Retained[Request.request_id()] = Id;
+    }
+    engine_run &Run = Runs[Id];
+    Run.Progress = std::move(Progress);
+    Run.Progress->sent("u1");
+    Run.OnEnd = std::move(OnEnd);
+    Run.Entry = Entry;
+    Run.Generation = List[Entry].Generation;
+    Run.Ended = false;
+    Names[Id] = Request.request_id();
+    return Id;
+  }
+
+  void chooseFate(engine_run &Run) {
+    static constexpr outcome_kind Fates[] = {
+        outcome_kind::Preempted, outcome_kind::UpstreamFailed,
+        outcome_kind::NoReconnection, outcome_kind::RefusedByAgent};
+    Run.StopAfter = MaxTokens - Run.From;
+    if (!chance(0.2))
+      return;
+    Run.Kind = Fates[below(4)];
+    Run.StopAfter = below(Run.StopAfter + 1);
+  }
+
+  void endLater(unsigned Entry, const step_owner_options::run_callback &OnEnd,
+                dispatch_result Result, std::string Text) {
+    Result.Verdict = classify({.Kind = Result.Kind});
+    Result.Upstream = "u1";
+    later(Entry, delay(20),
+          [OnEnd, End = run_ended{Result, std::move(Text)}](time_point At) {
+            OnEnd(End, At);
+          });
+  }
+
+  void advance(dispatch_id Id, engine_run &Run) {
+    while (Run.Versions.size() < Run.StopAfter && !Run.Cancelled &&
+           Run.StartedAt + Run.PerToken * (Run.Versions.size() + 1) <= Now) {
+      Run.Versions.push_back(EngineVersion);
+      if (Run.Progress)
+        Run.Progress->span({EngineVersion, 1});
+    }
+    if (Run.Cancelled || Run.Versions.size() >= Run.StopAfter)
+      endRun(Id, Run);
+  }
+
+  void endRun(dispatch_id Id, engine_run &Run) {
+    if (!Run.OnEnd || List[Run.Entry].Generation != Run.Generation)
+      return; // Nobody listens; an agent keeps the run for an adopter.
+    dispatch_result Result;
+    Result.Kind = Run.Cancelled ? outcome_kind::Cancelled : Run.Kind;
+    Result.RequestId = Names[Id];
+    Result.Address = "a";
+    std::string Text;
+    if (Result.Kind != outcome_kind::NoReconnection &&
+        Result.Kind != outcome_kind::RefusedByAgent) {
+      Result.WholeOutput = true;
+      for (uint64_t Version : Run.Versions) {
+        const token_span Span{Version, 1};
+        appendSpans(Result.Spans, std::span(&Span, 1));
+      }
+      for (uint32_t I = 0; I < Run.Versions.size(); ++I)
+        Text += tokenText(Run.From + I, Run.Versions[I]);
+    }
+    Run.Ended = true;
+    endLater(Run.Entry, Run.OnEnd, std::move(Result), std::move(Text));
+  }
+
+  static std::string tokenText(uint32_t Position, uint64_t Version) {
+    return std::to_string(Position) + ":" + std::to_string(Version) + ";";
+  }
+
+  std::vector<retained_run> findRuns(const std::string &Prefix) {
+    std::vector<retained_run> Found;
+    for (const auto &[Name, Id] : Retained)
+      if (Runs.at(Id).Sample.starts_with(Prefix))
+        Found.push_back({"u1", Name, Runs.at(Id).Sample});
+    return Found;
+  }
+
+  void tick() {
+    Now += milliseconds(10);
+    runDue(Effects, [](auto &Effect) { Effect(); });
+    causeFaults();
+    runDue(Events, [this](event &E) { deliver(E); });
+    for (auto &[Id, Run] : Runs)
+      if (!Run.Ended)
+        advance(Id, Run);
+    for (unsigned I = 0; I < Entries; ++I)
+      if (List[I].Alive && List[I].PausedUntil <= Now)
+        List[I].Owner->tick(Now);
+    train();
+  }
+
+  template <typename queue, typename action>
+  void runDue(queue &Queue, action Act) {
+    while (!Queue.empty() && Queue.begin()->first <= Now) {
+      auto Item = std::move(Queue.begin()->second);
+      Queue.erase(Queue.begin());
+      Act(Item);
+    }
+  }
+
+  void deliver(event &E) {
+    simulated_entry &Entry = List[E.Entry];
+    if (!Entry.Alive || Entry.Generation != E.Generation)
+      return;
+    if (Entry.PausedUntil > Now)
+      Events.emplace(Entry.PausedUntil, std::move(E));
+    else
+      E.Action(Now);
+  }
+
+  void causeFaults() {
+    for (unsigned I = 0; I < Entries; ++I) {
+      simulated_entry &E = List[I];
+      if (!E.Alive && Now >= E.RestartAt)
+        startEntry(I);
+      if (E.Alive && chance(0.0008)) {
+        ++Counts.Crashes;
+        E.Alive = false;
+        E.Owner.reset();
+        E.RestartAt = Now + delay(15000);
+      } else if (E.Alive && E.PausedUntil <= Now && chance(0.0006)) {
+        ++Counts.Pauses;
+        E.PausedUntil = Now + delay(16000);
+      }
+    }
+    if (chance(0.0003))
+      OutageUntil = Now + delay(6000);
+  }
+
+  // The trainer: one call outstanding, which it gives up after 2 s.
+  void train() {
+    if (Waiting && Now < GiveUpAt)
+      return;
+    Waiting = true;
+    const uint64_t Ticket = ++LastTicket;
+    GiveUpAt = Now + milliseconds(2000);
+    trainer_call Call;
+    Call.Kind =
+        Submitted ? trainer_call::kind::Draw : trainer_call::kind::Submit;
+    Call.Trainer = "t";
+    Call.Step = Step;
+    Call.Body = Submitted ? drawBody() : submitBody();
+    if (EngineVersion < Version && chance(0.05))
+      EngineVersion = Version;
+    route(below(Entries), Call, false, Ticket);
+  }
+
+  void route(unsigned Entry, const trainer_call &Call, bool Forwarded,
+             uint64_t Ticket) {
+    if (!List[Entry].Alive) {
+      refused(Ticket);
+      return;
+    }
+    later(Entry, delay(20), [=, this](time_point At) {
+      List[Entry].Owner->call(
+          Call, Forwarded,
+          [=, this](const step_answer &Answer) {
+            if (!Answer.ForwardTo.empty())
+              route(unsigned(std::stoul(Answer.ForwardTo)), Call, true, Ticket);
+            else
+              answered(Call, Answer.Reply, Ticket);
+          },
+          At);
+    });
+  }
+
+  void refused(uint64_t Ticket) {
+    if (Ticket == LastTicket)
+      GiveUpAt = std::min(GiveUpAt, Now + milliseconds(100));
+  }
+
+  void answered(const trainer_call &Call, const http_reply &Reply,
+                uint64_t Ticket) {
+    // A lost answer and a late one look the same to the trainer.
+    if (chance(0.05)) {
+      ++Counts.LostAnswers;
+      return;
+    }
+    if (Ticket != LastTicket || !Waiting)
+      return;
+    if (Reply.Status != 200) {
+      const auto Body = nlohmann::json::parse(Reply.Body);
+      if (Body["error"]["reason"] == "step_unknown")
+        Submitted = false;
+      refused(Ticket);
+      return;
+    }
+    Waiting = false;
+    if (Call.Kind == trainer_call::kind::Submit)
+      Submitted = true;
+    else
+      take(nlohmann::json::parse(Reply.Body));
+  }
+
+  void take(const nlohmann::json &Body) {
+    const auto AnswerEpoch = Body["epoch"].get<uint64_t>();
+    if (AnswerEpoch < Epoch) {
+      Fault = "a draw was answered with an earlier epoch than it named";
+      return;
+    }
+    Counts.Takeovers += AnswerEpoch > Epoch;
+    Epoch = AnswerEpoch;
+    for (const auto &Sample : Body["samples"])
+      check(Sample);
+    const bool All = Have.size() == size_t(Groups) * PerGroup;
+    if (Body["complete"].get<bool>() != All)
+      Fault = "the step was called complete wrongly";
+    if (!All)
+      return;
+    ++Step;
+    ++Version;
+    Have.clear();
+    Submitted = false;
+  }
+
+  void check(const nlohmann::json &Sample) {
+    const sample_key Key{Sample["group"].get<uint64_t>(),
+                         Sample["index"].get<uint32_t>()};
+    if (Key.Group >= Groups || Key.Index >= PerGroup)
+      Fault = "unknown sample";
+    if (!Have.insert(Key).second)
+      Fault = "a sample was delivered twice";
+    std::string Expected;
+    uint32_t Position = 0;
+    for (const auto &Span : Sample["spans"]) {
+      const auto SpanVersion = Span["version"].get<uint64_t>();
+      if (Version > SpanVersion && Version - SpanVersion > Bound)
+        Fault = "a stale sample was delivered";
+      for (uint32_t I = 0; I < Span["tokens"].get<uint32_t>(); ++I)
+        Expected += tokenText(Position++, SpanVersion);
+    }
+    if (Position != MaxTokens || Sample["text"] != Expected)
+      Fault = "labels or text are wrong: " + Sample.dump();
+  }
+
+  std::string submitBody() {
+    nlohmann::json Body = {{"version", Version},
+                           {"groups", nlohmann::json::array()}};
+    for (unsigned I = 0; I < Groups; ++I)
+      Body["groups"].push_back({{"group", I},
+                                {"prompt", "p" + std::to_string(I)},
+                                {"n", PerGroup},
+                                {"max_tokens", MaxTokens}});
+    return Body.dump();
+  }
+
+  std::string drawBody() {
+    nlohmann::json Body = {{"version", Version},
+                           {"epoch", Epoch},
+                           {"have", nlohmann::json::array()},
+                           {"max", 5},
+                           {"wait_ms", 500}};
+    for (const sample_key &Key : Have)
+      Body["have"].push_back({Key.Group, Key.Index});
+    return Body.dump();
+  }
+
+  std::mt19937 Random;
+  time_point Now = time_point() + milliseconds(1000000);
+  std::shared_ptr<const configuration> Configuration;
+  std::map<unsigned, simulated_entry> List;
+  std::multimap<time_point, event> Events;
+  std::multimap<time_point, std::function<void()>> Effects;
+  std::map<std::string, stored> Objects;
+  time_point OutageUntil{};
+  std::map<dispatch_id, engine_run> Runs;
+  std::map<dispatch_id, std::string> Names;
+  /// Request ids that agents retain.
+  std::map<std::string, dispatch_id> Retained;
+  uint64_t LastGeneration = 0;
+  uint64_t LastId = 0;
+  dispatch_id LastRun = 0;
+
+  uint64_t Step = 1;
+  uint64_t Version = 1;
+  uint64_t EngineVersion = 1;
+  uint64_t Epoch = 0;
+  std::set<sample_key> Have;
+  bool Submitted = false;
+  bool Waiting = false;
+  time_point GiveUpAt{};
+  uint64_t LastTicket = 0;
+  std::string Fault;
+};
+
+} // namespace cardamom
+
+#endif // CARDAMOM_ENTRY_STEP_SIMULATION_H
