Add the daemon's main program

Cause: the roles exist as libraries only. Change: cardamomd runs an entry or an agent, drains on SIGTERM and logs what it waits for; an agent serves health, metrics and status.

--- /dev/null
+++ b/cmd/cardamomd.cpp
@@ -0,0 +1,161 @@
+/// \file
+/// The daemon: an entry or an agent, as --role says.
+///
+/// Exit codes: 0 after a graceful shutdown, 1 for a failure at run time (such
+/// as a port in use), 2 for a refused setting. A second SIGTERM ends the
+/// process at once with 3.
+
+#include "agent/agent.h"
+#include "agent/agent_http.h"
+#include "base/identifier.h"
+#include "base/log.h"
+#include "entry/entry.h"
+#include "settings/daemon_settings.h"
+
+#include <atomic>
+#include <csignal>
+#include <cstdlib>
+#include <functional>
+#include <future>
+#include <iostream>
+#include <nlohmann/json.hpp>
+#include <pthread.h>
+#include <random>
+#include <thread>
+
+namespace cardamom {
+namespace {
+
+constexpr const char *Build = "0.1";
+constexpr int ExitRunTimeFailure = 1;
+constexpr int ExitSecondSignal = 3;
+/// How often a draining process logs what it waits for.
+constexpr milliseconds DrainLogInterval{5000};
+
+sigset_t stopSignals() {
+  sigset_t Set;
+  sigemptyset(&Set);
+  sigaddset(&Set, SIGTERM);
+  sigaddset(&Set, SIGINT);
+  return Set;
+}
+
+/// Waits for SIGTERM or SIGINT on a thread of its own. Both must be blocked in
+/// every thread.
+class stop_signal {
+public:
+  explicit stop_signal(std::function<void()> OnStop)
+      : Requested(Promise.get_future()),
+        Thread([this, OnStop = std::move(OnStop)] { wait(OnStop); }) {
+    Thread.detach();
+  }
+
+  void waitUntilRequested() { Requested.wait(); }
+
+private:
+  void wait(const std::function<void()> &OnStop) {
+    const sigset_t Set = stopSignals();
+    int Signal = 0;
+    sigwait(&Set, &Signal);
+    logState("shutdown_requested", {{"signal", std::to_string(Signal)}});
+    OnStop();
+    Promise.set_value();
+    sigwait(&Set, &Signal);
+    logFault("shutdown_forced", {{"signal", std::to_string(Signal)}});
+    std::_Exit(ExitSecondSignal);
+  }
+
+  std::promise<void> Promise;
+  std::future<void> Requested;
+  std::thread Thread;
+};
+
+uint64_t randomIncarnation() {
+  std::random_device Device;
+  uint64_t Value = 0;
+  while (Value == 0)
+    Value = (uint64_t(Device()) << 32) | Device();
+  return Value;
+}
+
+/// Runs Drain and logs, until it has returned, what it waits for.
+void drainAndLog(const std::function<void()> &Drain,
+                 const std::function<std::string()> &WaitingFor) {
+  std::future<void> Done = std::async(std::launch::async, Drain);
+  while (Done.wait_for(DrainLogInterval) != std::future_status::ready)
+    logState("draining", {{"waiting_for", WaitingFor()}});
+  Done.get();
+  logState("stopped");
+}
+
+int runEntry(const daemon_settings &S) {
+  entry Entry({.Name = S.Name,
+               .Incarnation = randomIncarnation(),
+               .FailureDomain = S.FailureDomain,
+               .Build = Build,
+               .InnerListen = S.InnerListen,
+               .HttpListen = S.HttpListen,
+               .Store = S.Store,
+               .SeedPeers = S.SeedPeers,
+               .Lease = S.Lease,
+               .DrainNotice = S.DrainNotice,
+               .HttpThreads = S.HttpThreads});
+  Entry.start();
+  stop_signal Stop([] {});
+  Stop.waitUntilRequested();
+  drainAndLog([&] { Entry.drain(); }, [&] { return Entry.waitingFor(); });
+  return 0;
+}
+
+int runAgent(const daemon_settings &S) {
+  const ip_port Inner = parseIpPort(S.InnerListen).value();
+  agent Agent({.Name = S.Name,
+               .Incarnation = randomIncarnation(),
+               .FailureDomain = S.FailureDomain,
+               .Build = Build,
+               .InnerHost = Inner.Ip,
+               .InnerPort = Inner.Port,
+               .UpstreamAddress = S.Upstream,
+               .StoreAddress = S.Store,
+               .OrderPort = S.OrderPort,
+               .SeedPeers = S.SeedPeers,
+               .MaxTotalAnswerBytes = S.RetainedAnswerBytes});
+  stop_signal Stop([&] { Agent.interruptStart(); });
+  if (!Agent.start())
+    return 0;
+  std::unique_ptr<agent_http> Http;
+  if (!S.HttpListen.empty()) {
+    const ip_port Address = parseIpPort(S.HttpListen).value();
+    Http = std::make_unique<agent_http>(Agent, Address.Ip, Address.Port);
+  }
+  Stop.waitUntilRequested();
+  drainAndLog([&] { Agent.stop(); }, [&] { return Agent.waitingFor().dump(); });
+  return 0;
+}
+
+int run(const daemon_settings &Settings) {
+  initLog(Settings.Name, Settings.LogLevel);
+  std::signal(SIGPIPE, SIG_IGN);
+  const sigset_t Set = stopSignals();
+  pthread_sigmask(SIG_BLOCK, &Set, nullptr);
+  try {
+    return Settings.Role == daemon_role::Entry ? runEntry(Settings)
+                                               : runAgent(Settings);
+  } catch (const std::exception &Error) {
+    logFault("failed", {{"error", Error.what()}});
+    return ExitRunTimeFailure;
+  }
+}
+
+} // namespace
+} // namespace cardamom
+
+int main(int Argc, char **Argv) {
+  const cardamom::parse_result Result =
+      cardamom::parseDaemonSettings({Argv, size_t(Argc)});
+  if (!Result.Run) {
+    (Result.ExitCode == 0 ? std::cout : std::cerr) << Result.Text;
+    return Result.ExitCode;
+  }
+  return cardamom::run(Result.Settings);
+}
