--- /dev/null
+++ b/bench/load_stats.h
@@ -0,0 +1,62 @@
+/// \file
+/// Outcomes of the calls of a load run.
+
+#ifndef CARDAMOM_BENCH_LOAD_STATS_H
+#define CARDAMOM_BENCH_LOAD_STATS_H
+
+#include <algorithm>
+#include <cmath>
+#include <cstdint>
+#include <map>
+#include <string>
+#include <vector>
+
+namespace bench {
+
+struct percentiles {
+  double Median = 0;
+  double P90 = 0;
+  double P99 = 0;
+};
+
+/// Nearest-rank percentiles, all 0 for no values. O(n log n).
+inline percentiles computePercentiles(std::vector<float> Values) {
+  if (Values.empty())
+    return {};
+  std::sort(Values.begin(), Values.end());
+  auto At = [&](double Share) {
+    auto Rank = static_cast<size_t>(
+        std::ceil(Share * static_cast<double>(Values.size())));
+    return static_cast<double>(Values[std::max<size_t>(Rank, 1) - 1]);
+  };
+  return {At(0.5), At(0.9), At(0.99)};
+}
+
+/// Not thread-safe; each client thread has its own.
+struct load_stats {
+  /// Milliseconds of the calls with a right answer.
+  std::vector<float> LatencyMs;
+  std::vector<float> FirstTokenMs;
+  std::map<std::string, uint64_t> Errors;
+  uint64_t Requests = 0;
+  uint64_t Retries = 0;
+  uint64_t Tokens = 0;
+
+  void add(const load_stats &Other) {
+    LatencyMs.insert(LatencyMs.end(), Other.LatencyMs.begin(),
+                     Other.LatencyMs.end());
+    FirstTokenMs.insert(FirstTokenMs.end(), Other.FirstTokenMs.begin(),
+                        Other.FirstTokenMs.end());
+    for (const auto &[Reason, Count] : Other.Errors)
+      Errors[Reason] += Count;
+    Requests += Other.Requests;
+    Retries += Other.Retries;
+    Tokens += Other.Tokens;
+  }
+
+  [[nodiscard]] uint64_t ok() const { return LatencyMs.size(); }
+};
+
+} // namespace bench
+
+#endif // CARDAMOM_BENCH_LOAD_STATS_H
--- a/standins/entry_caller.cpp
+++ b/standins/entry_caller.cpp
@@ -47,6 +47,15 @@
   return {Result->status, std::move(Result->body)};
 }
 
+httplib::Error entry_caller::send(httplib::Request &Request,
+                                  httplib::Response &Response) {
+  httplib::Error Error = httplib::Error::Success;
+  if (!Client->send(Request, Response, Error) &&
+      Error == httplib::Error::Success)
+    Error = httplib::Error::Unknown;
+  return Error;
+}
+
 void entry_caller::useNextEntry() {
   Current = (Current + 1) % Entries.size();
   Client = openClient(Entries[Current], ReadTimeout);
--- a/standins/entry_caller.h
+++ b/standins/entry_caller.h
@@ -33,6 +33,8 @@
 
   entry_answer call(const std::string &Method, const std::string &Path,
                     const std::string &Body);
+  /// For calls that need headers or read the answer as it comes.
+  httplib::Error send(httplib::Request &Request, httplib::Response &Response);
   /// The next call goes to the next entry, over a new connection.
   void useNextEntry();
   [[nodiscard]] const std::string &entry() const { return Entries[Current]; }
