Parse and check the settings of cardamomd

Cause: a process with a wrong setting must not start, and its operator must see what to write instead.

--- /dev/null
+++ b/settings/daemon_settings_test.cpp
@@ -0,0 +1,164 @@
+#include "settings/daemon_settings.h"
+
+#include "settings/setting_table.h"
+
+#include <cppunit/extensions/HelperMacros.h>
+#include <cstdlib>
+#include <fstream>
+#include <sstream>
+
+namespace cardamom {
+
+static const std::vector<std::string> Entry = {
+    "--role=entry",   "--name=e1",      "--region=r1",   "--failure-domain=fd1",
+    "--inner-listen", "127.0.0.1:7101", "--http-listen", "127.0.0.1:7601",
+    "--store",        "127.0.0.1:7000"};
+static const std::vector<std::string> Agent = {
+    "--role=agent",   "--name=m1",      "--region=r1",  "--failure-domain=fd1",
+    "--inner-listen", "127.0.0.1:7102", "--store",      "127.0.0.1:7000",
+    "--upstream",     "127.0.0.1:7602", "--order-port", "7900"};
+
+static parse_result parse(std::vector<std::string> Words,
+                          const std::vector<std::string> &More = {}) {
+  Words.insert(Words.begin(), "cardamomd");
+  Words.insert(Words.end(), More.begin(), More.end());
+  std::vector<const char *> Args;
+  Args.reserve(Words.size());
+  for (const std::string &Word : Words)
+    Args.push_back(Word.c_str());
+  return parseDaemonSettings(Args);
+}
+
+class daemon_settings_test : public CppUnit::TestFixture {
+  CPPUNIT_TEST_SUITE(daemon_settings_test);
+  CPPUNIT_TEST(readsBothRoles);
+  CPPUNIT_TEST(refusesBadValues);
+  CPPUNIT_TEST(flagWinsOverEnvironment);
+  CPPUNIT_TEST(checksAndPrintsWithoutRunning);
+  CPPUNIT_TEST(documentationNamesEachSetting);
+  CPPUNIT_TEST_SUITE_END();
+
+public:
+  // Guards against defaults or units that differ from the documented ones.
+  void readsBothRoles() {
+    const parse_result E =
+        parse(Entry, {"--seed-peers=127.0.0.1:1,127.0.0.1:2"});
+    CPPUNIT_ASSERT_MESSAGE(E.Text, E.Run);
+    CPPUNIT_ASSERT(E.Settings.Role == daemon_role::Entry);
+    CPPUNIT_ASSERT_EQUAL(size_t(2), E.Settings.SeedPeers.size());
+    CPPUNIT_ASSERT(E.Settings.DrainNotice == milliseconds(3000));
+    CPPUNIT_ASSERT(E.Settings.Lease == milliseconds(10000));
+    CPPUNIT_ASSERT_EQUAL(size_t(67108864), E.Settings.RetainedAnswerBytes);
+    CPPUNIT_ASSERT_EQUAL(size_t(1048576), E.Settings.MaxBodyBytes);
+    const parse_result A = parse(Agent, {"--max-body-kib=2"});
+    CPPUNIT_ASSERT_MESSAGE(A.Text, A.Run);
+    CPPUNIT_ASSERT(A.Settings.Role == daemon_role::Agent);
+    CPPUNIT_ASSERT_EQUAL(uint16_t(7900), A.Settings.OrderPort);
+    CPPUNIT_ASSERT_EQUAL(size_t(2048), A.Settings.MaxBodyBytes);
+    CPPUNIT_ASSERT(A.Settings.HttpListen.empty());
+  }
+
+  // Guards against a process that starts with a setting it cannot follow.
+  void refusesBadValues() {
+    for (const char *Bad : {"--role=server",
+                            "--name=a b",
+                            "--failure-domain=",
+                            "--region=r/1",
+                            "--inner-listen=127.0.0.1",
+                            "--inner-listen=127.0.0.1:0",
+                            "--store=localhost:7000",
+                            "--seed-peers=127.0.0.1:1,",
+                            "--seed-peers=,",
+                            "--upstream=127.0.0.1:70000",
+                            "--order-port=0",
+                            "--order-port=65536",
+                            "--order-port=7102",
+                            "--log-level=loud",
+                            "--data-dir=missing-folder",
+                            "--drain-notice-ms=60001",
+                            "--drain-notice-ms=-1",
+                            "--lease-ms=1999",
+                            "--lease-ms=1e4",
+                            "--lease-ms=99999999999999999999",
+                            "--http-threads=3",
+                            "--retained-answers-mib=0",
+                            "--max-body-kib=1025",
+                            "--lease-ms=",
+                            "--http-listen=127.0.0.1:7102"}) {
+      // The option that is replaced must not be given twice.
+      const std::string Word = Bad;
+      const std::string Flag = Word.substr(0, Word.find('='));
+      std::vector<std::string> Words;
+      for (size_t I = 0; I < Agent.size(); ++I) {
+        if (!Agent[I].starts_with(Flag))
+          Words.push_back(Agent[I]);
+        else if (Agent[I] == Flag)
+          ++I;
+      }
+      const parse_result Result = parse(Words, {Word});
+      CPPUNIT_ASSERT_MESSAGE(Word, !Result.Run);
+      CPPUNIT_ASSERT_EQUAL_MESSAGE(Word, 2, Result.ExitCode);
+      const std::string Value = Word.substr(Word.find('=') + 1);
+      for (const std::string &Part :
+           {Flag, '"' + Value + '"', std::string("allowed is")})
+        CPPUNIT_ASSERT_MESSAGE(Result.Text,
+                               Result.Text.find(Part) != std::string::npos);
+    }
+    CPPUNIT_ASSERT_EQUAL(2, parse(Entry, {"--order-port=1"}).ExitCode);
+    CPPUNIT_ASSERT_EQUAL(2, parse(Entry, {"--no-such-flag=1"}).ExitCode);
+    CPPUNIT_ASSERT_EQUAL(2, parse(Entry, {"--name=twice"}).ExitCode);
+    CPPUNIT_ASSERT_EQUAL(2, parse({}).ExitCode);
+  }
+
+  // Guards against an environment that silently overrides the command line.
+  void flagWinsOverEnvironment() {
+    ::setenv("CARDAMOM_LEASE_MS", "5000", 1);
+    const parse_result FromEnvironment = parse(Entry);
+    const parse_result FromFlag = parse(Entry, {"--lease-ms=6000"});
+    ::setenv("CARDAMOM_LEASE_MS", "5 s", 1);
+    const parse_result Refused = parse(Entry);
+    ::unsetenv("CARDAMOM_LEASE_MS");
+    CPPUNIT_ASSERT(FromEnvironment.Settings.Lease == milliseconds(5000));
+    CPPUNIT_ASSERT(FromFlag.Settings.Lease == milliseconds(6000));
+    CPPUNIT_ASSERT_EQUAL(2, Refused.ExitCode);
+    CPPUNIT_ASSERT(Refused.Text.find("CARDAMOM_LEASE_MS") != std::string::npos);
+  }
+
+  // Guards against a check that starts the daemon.
+  void checksAndPrintsWithoutRunning() {
+    for (const char *Flag :
+         {"--check-settings", "--print-settings", "--help"}) {
+      const parse_result Result = parse(Agent, {Flag});
+      CPPUNIT_ASSERT(!Result.Run);
+      CPPUNIT_ASSERT_EQUAL_MESSAGE(Result.Text, 0, Result.ExitCode);
+    }
+    const parse_result Bad = parse(Agent, {"--check-settings", "--lease-ms=1"});
+    CPPUNIT_ASSERT_EQUAL(2, Bad.ExitCode);
+    const std::string Printed = parse(Agent, {"--print-settings"}).Text;
+    CPPUNIT_ASSERT(Printed.find("\"order_port\": 7900") != std::string::npos);
+  }
+
+  // Guards against a reference table that lacks a setting or its default.
+  void documentationNamesEachSetting() {
+    std::ifstream File("docs/settings.md");
+    std::string Line;
+    size_t Found = 0;
+    while (std::getline(File, Line)) {
+      for (const setting_spec &Spec : settingTable()) {
+        if (!Line.starts_with("| `--" + std::string(Spec.Flag) + "` | `" +
+                              environmentName(Spec.Flag) + "`"))
+          continue;
+        ++Found;
+        CPPUNIT_ASSERT_MESSAGE(Line,
+                               Line.find("| " + std::string(Spec.Default)) !=
+                                   std::string::npos);
+      }
+    }
+    CPPUNIT_ASSERT_EQUAL(settingTable().size(), Found);
+  }
+};
+
+CPPUNIT_TEST_SUITE_NAMED_REGISTRATION(daemon_settings_test,
+                                      "daemon_settings_test");
+
+} // namespace cardamom
--- /dev/null
+++ b/settings/setting_reader.cpp
@@ -0,0 +1,186 @@
+#include "settings/setting_reader.h"
+
+#include "base/identifier.h"
+
+#include <algorithm>
+#include <filesystem>
+
+namespace cardamom {
+
+namespace {
+
+constexpr uint64_t MaxDrainNoticeMs = 60000;
+/// A renewal takes a third of the lease; below 2 s a slow store would end it.
+constexpr uint64_t MinLeaseMs = 2000;
+constexpr uint64_t MaxLeaseMs = 60000;
+constexpr uint64_t MinHttpThreads = 4;
+constexpr uint64_t MaxHttpThreads = 1024;
+constexpr uint64_t MaxRetainedMib = 1024;
+/// A frame of the inner protocol holds at most 1 MiB.
+constexpr uint64_t MaxBodyKib = 1024;
+constexpr uint64_t MaxPort = 65535;
+constexpr size_t MaxSeedPeers = 16;
+constexpr size_t BytesPerKib = 1024;
+constexpr size_t BytesPerMib = 1024 * BytesPerKib;
+
+constexpr std::array<std::string_view, 6> LogLevels = {"trace", "debug", "info",
+                                                       "warn",  "error", "off"};
+
+} // namespace
+
+void setting_reader::refuse(setting_id Id, std::string_view Allowed) {
+  const std::string Flag(settingTable()[size_t(Id)].Flag);
+  Problems += "--" + Flag + " (" + environmentName(Flag) + "): value \"" +
+              text(Id) + "\": allowed is " + std::string(Allowed) + '\n';
+}
+
+daemon_settings setting_reader::read() {
+  daemon_settings Settings;
+  // What else is needed depends on the role.
+  if (!readRole(Settings.Role))
+    return Settings;
+  readPlace(Settings);
+  readNetwork(Settings);
+  if (Settings.Role == daemon_role::Agent)
+    readAgent(Settings);
+  else
+    refuseAgentSettings();
+  readLimits(Settings);
+  checkDistinct(Settings);
+  return Settings;
+}
+
+bool setting_reader::readRole(daemon_role &Role) {
+  const std::string &Text = text(setting_id::Role);
+  if (Text != "entry" && Text != "agent") {
+    refuse(setting_id::Role, "entry or agent");
+    return false;
+  }
+  Role = Text == "agent" ? daemon_role::Agent : daemon_role::Entry;
+  return true;
+}
+
+void setting_reader::readPlace(daemon_settings &Settings) {
+  Settings.Name = identifier(setting_id::Name);
+  Settings.FailureDomain = identifier(setting_id::FailureDomain);
+  Settings.Region = identifier(setting_id::Region);
+}
+
+void setting_reader::readNetwork(daemon_settings &Settings) {
+  Settings.InnerListen = address(setting_id::InnerListen);
+  const bool NeedsHttp = Settings.Role == daemon_role::Entry;
+  if (NeedsHttp || !text(setting_id::HttpListen).empty())
+    Settings.HttpListen = address(setting_id::HttpListen);
+  Settings.Store = address(setting_id::Store);
+  Settings.SeedPeers = addressList(setting_id::SeedPeers);
+}
+
+void setting_reader::readAgent(daemon_settings &Settings) {
+  Settings.Upstream = address(setting_id::Upstream);
+  Settings.OrderPort = uint16_t(number(
+      setting_id::OrderPort, {.Unit = "port", .Min = 1, .Max = MaxPort}));
+}
+
+void setting_reader::refuseAgentSettings() {
+  for (const setting_id Id : {setting_id::Upstream, setting_id::OrderPort}) {
+    if (!text(Id).empty())
+      refuse(Id, "no value for role entry; only an agent has an upstream");
+  }
+}
+
+void setting_reader::readLimits(daemon_settings &Settings) {
+  Settings.LogLevel = logLevel();
+  Settings.DataDir = dataDir();
+  Settings.DrainNotice = milliseconds(
+      number(setting_id::DrainNoticeMs,
+             {.Unit = "milliseconds", .Min = 0, .Max = MaxDrainNoticeMs}));
+  Settings.Lease = milliseconds(
+      number(setting_id::LeaseMs,
+             {.Unit = "milliseconds", .Min = MinLeaseMs, .Max = MaxLeaseMs}));
+  Settings.HttpThreads = unsigned(number(
+      setting_id::HttpThreads,
+      {.Unit = "threads", .Min = MinHttpThreads, .Max = MaxHttpThreads}));
+  Settings.RetainedAnswerBytes =
+      BytesPerMib * number(setting_id::RetainedAnswersMib,
+                           {.Unit = "MiB", .Min = 1, .Max = MaxRetainedMib});
+  Settings.MaxBodyBytes =
+      BytesPerKib * number(setting_id::MaxBodyKib,
+                           {.Unit = "KiB", .Min = 1, .Max = MaxBodyKib});
+}
+
+static uint16_t portOf(const std::string &Address) {
+  const auto Parsed = parseIpPort(Address);
+  return Parsed ? Parsed->Port : 0;
+}
+
+/// Two listeners on one port would fail at a later point, without a hint at
+/// the settings.
+void setting_reader::checkDistinct(const daemon_settings &Settings) {
+  const std::string &Http = Settings.HttpListen;
+  if (!Http.empty() && Http == Settings.InnerListen)
+    refuse(setting_id::HttpListen, "an address other than --inner-listen");
+  const uint16_t Order = Settings.OrderPort;
+  if (Order != 0 &&
+      (Order == portOf(Http) || Order == portOf(Settings.InnerListen)))
+    refuse(setting_id::OrderPort,
+           "a port other than those of --inner-listen and --http-listen");
+}
+
+std::string setting_reader::identifier(setting_id Id) {
+  if (!isIdentifier(text(Id)))
+    refuse(Id, IdentifierFormat);
+  return text(Id);
+}
+
+std::string setting_reader::address(setting_id Id) {
+  if (!parseIpPort(text(Id)))
+    refuse(Id, IpPortFormat);
+  return text(Id);
+}
+
+std::vector<std::string> setting_reader::addressList(setting_id Id) {
+  std::vector<std::string> Addresses;
+  std::string_view Rest = text(Id);
+  while (!Rest.empty()) {
+    const size_t Comma = std::min(Rest.find(','), Rest.size());
+    Addresses.emplace_back(Rest.substr(0, Comma));
+    // A trailing comma leaves an empty address, which is refused below.
+    if (Comma + 1 == Rest.size())
+      Addresses.emplace_back();
+    Rest.remove_prefix(std::min(Comma + 1, Rest.size()));
+  }
+  const bool AllValid = std::all_of(
+      Addresses.begin(), Addresses.end(),
+      [](const std::string &Address) { return bool(parseIpPort(Address)); });
+  if (!AllValid || Addresses.size() > MaxSeedPeers)
+    refuse(Id, "at most 16 addresses separated by commas, each " +
+                   std::string(IpPortFormat));
+  return Addresses;
+}
+
+std::string setting_reader::logLevel() {
+  const std::string &Level = text(setting_id::LogLevel);
+  if (std::find(LogLevels.begin(), LogLevels.end(), Level) == LogLevels.end())
+    refuse(setting_id::LogLevel, "one of trace, debug, info, warn, error, off");
+  return Level;
+}
+
+std::string setting_reader::dataDir() {
+  const std::string &Folder = text(setting_id::DataDir);
+  std::error_code Error;
+  if (!Folder.empty() && !std::filesystem::is_directory(Folder, Error))
+    refuse(setting_id::DataDir, "an existing folder, or nothing");
+  return Folder;
+}
+
+uint64_t setting_reader::number(setting_id Id, const number_range &Range) {
+  const auto Value = parseWholeNumber(text(Id));
+  if (Value && *Value >= Range.Min && *Value <= Range.Max)
+    return *Value;
+  refuse(Id, "a whole number (" + std::string(Range.Unit) + ") from " +
+                 std::to_string(Range.Min) + " to " +
+                 std::to_string(Range.Max));
+  return Range.Min;
+}
+
+} // namespace cardamom
--- /dev/null
+++ b/settings/setting_reader.h
@@ -0,0 +1,63 @@
+/// \file
+/// Turns the texts of the settings into checked values.
+
+#ifndef CARDAMOM_SETTINGS_SETTING_READER_H
+#define CARDAMOM_SETTINGS_SETTING_READER_H
+
+#include "settings/daemon_settings.h"
+#include "settings/setting_table.h"
+
+#include <array>
+#include <string>
+#include <string_view>
+
+namespace cardamom {
+
+/// One text for each setting; empty = not given.
+using setting_texts = std::array<std::string, size_t(setting_id::Count)>;
+
+/// Reads all settings and collects every problem, so that an operator sees
+/// them at once.
+class setting_reader {
+public:
+  /// Texts must outlive the reader.
+  explicit setting_reader(const setting_texts &Texts) : Texts(Texts) {}
+
+  /// The settings are valid only when problems() is empty.
+  daemon_settings read();
+
+  /// One line for each refused setting.
+  [[nodiscard]] const std::string &problems() const { return Problems; }
+
+private:
+  struct number_range {
+    std::string_view Unit;
+    uint64_t Min;
+    uint64_t Max;
+  };
+
+  [[nodiscard]] const std::string &text(setting_id Id) const {
+    return Texts[size_t(Id)];
+  }
+  void refuse(setting_id Id, std::string_view Allowed);
+  bool readRole(daemon_role &Role);
+  void readPlace(daemon_settings &Settings);
+  void readNetwork(daemon_settings &Settings);
+  void readAgent(daemon_settings &Settings);
+  void refuseAgentSettings();
+  void readLimits(daemon_settings &Settings);
+  void checkDistinct(const daemon_settings &Settings);
+  std::string identifier(setting_id Id);
+  std::string address(setting_id Id);
+  std::vector<std::string> addressList(setting_id Id);
+  std::string logLevel();
+  std::string dataDir();
+  uint64_t number(setting_id Id, const number_range &Range);
+
+  const setting_texts &Texts;
+  std::string Problems;
+};
+
+} // namespace cardamom
+
+#endif // CARDAMOM_SETTINGS_SETTING_READER_H
--- /dev/null
+++ b/settings/setting_table.cpp
@@ -0,0 +1,50 @@
+#include "settings/setting_table.h"
+
+#include <array>
+#include <cctype>
+
+namespace cardamom {
+
+static constexpr std::array<setting_spec, size_t(setting_id::Count)> Table = {{
+    {setting_id::Role, "role", "", "entry or agent"},
+    {setting_id::Name, "name", "",
+     "name of this entry, or of the agent's upstream, in the inventory"},
+    {setting_id::FailureDomain, "failure-domain", "",
+     "failure domain of this VM"},
+    {setting_id::Region, "region", "", "region of this VM"},
+    {setting_id::InnerListen, "inner-listen", "",
+     "IP:port of the inner protocol"},
+    {setting_id::HttpListen, "http-listen", "",
+     "IP:port of HTTP; on an agent metrics and health only, and optional"},
+    {setting_id::Store, "store", "", "IP:port of the platform's store"},
+    {setting_id::SeedPeers, "seed-peers", "",
+     "inner IP:port,... asked for documents while the store is unavailable"},
+    {setting_id::Upstream, "upstream", "", "IP:port of the agent's upstream"},
+    {setting_id::OrderPort, "order-port", "",
+     "local port that locks giving orders (agent)"},
+    {setting_id::LogLevel, "log-level", "info",
+     "trace, debug, info, warn, error or off"},
+    {setting_id::DataDir, "data-dir", "",
+     "existing folder for bulk data; empty = keep nothing"},
+    {setting_id::DrainNoticeMs, "drain-notice-ms", "3000",
+     "ms that an entry stays up but unready after SIGTERM"},
+    {setting_id::LeaseMs, "lease-ms", "10000",
+     "ms that the lease of a trainer's owner lasts"},
+    {setting_id::HttpThreads, "http-threads", "64",
+     "threads that serve HTTP; each open connection holds one"},
+    {setting_id::RetainedAnswersMib, "retained-answers-mib", "64",
+     "MiB of finished responses that an agent keeps"},
+    {setting_id::MaxBodyKib, "max-body-kib", "1024",
+     "KiB of the largest request body"},
+}};
+
+std::span<const setting_spec> settingTable() { return Table; }
+
+std::string environmentName(std::string_view Flag) {
+  std::string Name = "CARDAMOM_";
+  for (const char C : Flag)
+    Name += C == '-' ? '_' : char(std::toupper(static_cast<unsigned char>(C)));
+  return Name;
+}
+
+} // namespace cardamom
--- /dev/null
+++ b/settings/setting_table.h
@@ -0,0 +1,51 @@
+/// \file
+/// The settings of cardamomd as texts: names, defaults and help.
+
+#ifndef CARDAMOM_SETTINGS_SETTING_TABLE_H
+#define CARDAMOM_SETTINGS_SETTING_TABLE_H
+
+#include <cstddef>
+#include <span>
+#include <string>
+#include <string_view>
+
+namespace cardamom {
+
+enum class setting_id : size_t {
+  Role,
+  Name,
+  FailureDomain,
+  Region,
+  InnerListen,
+  HttpListen,
+  Store,
+  SeedPeers,
+  Upstream,
+  OrderPort,
+  LogLevel,
+  DataDir,
+  DrainNoticeMs,
+  LeaseMs,
+  HttpThreads,
+  RetainedAnswersMib,
+  MaxBodyKib,
+  Count
+};
+
+struct setting_spec {
+  setting_id Id;
+  /// Without dashes, as in "lease-ms".
+  std::string_view Flag;
+  std::string_view Default;
+  std::string_view Help;
+};
+
+/// All settings, in the order of setting_id.
+std::span<const setting_spec> settingTable();
+
+/// "lease-ms" -> "CARDAMOM_LEASE_MS".
+std::string environmentName(std::string_view Flag);
+
+} // namespace cardamom
+
+#endif // CARDAMOM_SETTINGS_SETTING_TABLE_H
