Record the queue wait of runs

Cause: refusals for deadlines cannot be judged without the wait. Change: histogram queue_wait_ms, recorded when a run gets its slot. Conclusion: none beyond the change.

--- a/agent/run_executor.cpp
+++ b/agent/run_executor.cpp
@@ -105,7 +105,11 @@
 
 void run_executor::dispatch(time_point Now) {
   while (auto Id = Admission.next(Now)) {
-    Jobs.at(*Id).Active = true;
+    job &Job = Jobs.at(*Id);
+    Job.Active = true;
+    const std::chrono::duration<double, std::milli> Waited =
+        Now - Job.SubmittedAt;
+    metrics::get().histogram("queue_wait_ms").record(Waited.count());
     if (!Stopping && Workers.size() < Admission.active())
       Workers.emplace_back([this] { work(); });
     Ready.tryPush(std::move(*Id));
--- a/agent/run_executor.h
+++ b/agent/run_executor.h
@@ -81,6 +81,7 @@
 private:
   struct job {
     wire::run_request Request;
+    time_point SubmittedAt;
     time_point Deadline;
     bool Active = false;
     bool Preempted = false;
