Observe another owner's lease without gaps

Cause: an entry read the lease only on calls, and each gap restarted the observation, so that a paused owner was replaced only by a restart of its namesake. Change: lease_keeper keeps reading while the trainer calls here; the simulation uses a lease of 2 s and store outages at the end of pauses.

--- a/entry/lease_keeper.cpp
+++ b/entry/lease_keeper.cpp
@@ -10,8 +10,6 @@
 
 namespace cardamom {
 
-// What was read of another owner's lease is used this long.
-static constexpr milliseconds ReadAgain{1000};
 // Pause after a failed call of the store.
 static constexpr milliseconds StorePause{300};
 
@@ -39,11 +37,14 @@
 lease_keeper::lease_keeper(lease_keeper_options Options)
     : Options(std::move(Options)) {}
 
+milliseconds lease_keeper::readAgain() const { return Options.Lease / 10; }
+
 bool lease_keeper::ensure(time_point Now) {
+  WantedUntil = Now + Options.Lease * 3 / 2;
   if (State == lease_state::Mine)
     return true;
   const milliseconds Fresh =
-      State == lease_state::Unavailable ? StorePause : ReadAgain;
+      State == lease_state::Unavailable ? StorePause : readAgain();
   if (!Busy && State != lease_state::Unknown && Now - ReadAt < Fresh)
     return true;
   if (!Busy)
@@ -185,8 +186,14 @@
 }
 
 void lease_keeper::tick(time_point Now) {
-  if (State == lease_state::Mine && !Busy && Now >= NextRenew)
+  if (Busy)
+    return;
+  if (State == lease_state::Mine && Now >= NextRenew)
     write(Now);
+  // Between the trainer's calls the observation must not break off.
+  if (State == lease_state::Other && !Releasing && Now < WantedUntil &&
+      Now - ReadAt >= readAgain())
+    read(Now);
 }
 
 void lease_keeper::setStep(uint64_t Step, time_point Now) {
--- a/entry/lease_keeper.h
+++ b/entry/lease_keeper.h
@@ -92,6 +92,8 @@
   [[nodiscard]] bool busy() const { return Busy; }
 
 private:
+  /// How long what was read of another owner's lease is used.
+  [[nodiscard]] milliseconds readAgain() const;
   void read(time_point Now);
   void onRead(const store_result &Result, time_point Now);
   void onFound(const store_result &Result, time_point Now);
@@ -115,6 +117,9 @@
   time_point FoundAt{};
   time_point ReadAt{};
   time_point NextRenew{};
+  /// Until then the lease of another owner is observed, because the trainer
+  /// has called here.
+  time_point WantedUntil{};
   uint64_t InheritedStep = 0;
   bool Busy = false;
   bool Releasing = false;
--- a/entry/step_owner_runs.cpp
+++ b/entry/step_owner_runs.cpp
@@ -80,12 +80,9 @@
   Request.set_class_(Rule.Priority <= 1 ? wire::TRAINER_FIRST
                                         : wire::TRAINER_SECOND);
   Request.set_idempotent(true);
-  std::string Name =
-      Options.Trainer + "/" + std::to_string(Step.Samples.step()) + "/" +
-      std::to_string(Sample.Key.Group) + "/" + std::to_string(Sample.Key.Index);
+  Request.set_sample(sampleName(Step.Samples.step(), Sample.Key));
   if (Tokens > 0)
-    Name += ResumedMark;
-  Request.set_sample(Name);
+    Request.mutable_sample()->append(ResumedMark);
   wire::model_call &Model = *Request.mutable_model();
   Model.set_model(Rule.Model);
   Model.set_prompt(Group.Prompt);
--- a/entry/step_simulation.h
+++ b/entry/step_simulation.h
@@ -23,7 +23,7 @@
 class step_simulation {
 public:
   static constexpr unsigned Entries = 3;
-  static constexpr unsigned Groups = 3;
+  static constexpr unsigned Groups = 5;
   static constexpr unsigned PerGroup = 4;
   static constexpr unsigned MaxTokens = 12;
   static constexpr uint64_t Bound = 1;
@@ -121,6 +121,9 @@
     O.Lease.Self.Owner = "entry-" + std::to_string(I);
     O.Lease.Self.Address = std::to_string(I);
     O.Lease.Self.Incarnation = E.Generation;
+    // Short, so that takeovers happen in the middle of steps.
+    O.Lease.Lease = milliseconds(2000);
+    O.Lease.Renew = milliseconds(600);
     O.Lease.Get = [this, I](const std::string &Key, auto Answer) {
       storeCall(
           I, [this, Key] { return get(Key); }, Answer);
@@ -216,7 +219,7 @@
       Run.From = Request.model().resume_tokens();
       Run.StartedAt = Now;
       // One run in ten is a straggler.
-      Run.PerToken = chance(0.1) ? milliseconds(800) : delay(60);
+      Run.PerToken = chance(0.1) ? milliseconds(800) : delay(150);
       chooseFate(Run);
       Counts.Resumed += Run.From > 0;
       Retained[Request.request_id()] = Id;
@@ -336,18 +339,25 @@
       simulated_entry &E = List[I];
       if (!E.Alive && Now >= E.RestartAt)
         startEntry(I);
-      if (E.Alive && chance(0.0008)) {
+      if (E.Alive && chance(0.0005)) {
         ++Counts.Crashes;
         E.Alive = false;
         E.Owner.reset();
-        E.RestartAt = Now + delay(15000);
-      } else if (E.Alive && E.PausedUntil <= Now && chance(0.0006)) {
+        E.RestartAt = Now + delay(5000);
+      } else if (E.Alive && E.PausedUntil <= Now && chance(0.0008)) {
         ++Counts.Pauses;
-        E.PausedUntil = Now + delay(16000);
+        E.PausedUntil = Now + delay(6000);
+        // Some resume while the store cannot tell them that they lost a lease.
+        if (chance(0.5))
+          Outages.emplace(E.PausedUntil - milliseconds(20),
+                          E.PausedUntil + delay(4000));
       }
     }
     if (chance(0.0003))
       OutageUntil = Now + delay(6000);
+    runDue(Outages, [this](time_point Until) {
+      OutageUntil = std::max(OutageUntil, Until);
+    });
   }
 
   // The trainer: one call outstanding, which it gives up after 2 s.
@@ -355,6 +365,9 @@
     if (Waiting && Now < GiveUpAt)
       return;
     Waiting = true;
+    // The trainer may publish weights in the middle of a step.
+    if (Submitted && chance(0.02))
+      ++Version;
     const uint64_t Ticket = ++LastTicket;
     GiveUpAt = Now + milliseconds(2000);
     trainer_call Call;
@@ -431,7 +444,7 @@
     if (!All)
       return;
     ++Step;
-    ++Version;
+    StepVersion = ++Version;
     Have.clear();
     Submitted = false;
   }
@@ -457,7 +470,7 @@
   }
 
   std::string submitBody() {
-    nlohmann::json Body = {{"version", Version},
+    nlohmann::json Body = {{"version", StepVersion},
                            {"groups", nlohmann::json::array()}};
     for (unsigned I = 0; I < Groups; ++I)
       Body["groups"].push_back({{"group", I},
@@ -486,6 +499,7 @@
   std::multimap<time_point, std::function<void()>> Effects;
   std::map<std::string, stored> Objects;
   time_point OutageUntil{};
+  std::multimap<time_point, time_point> Outages;
   std::map<dispatch_id, engine_run> Runs;
   std::map<dispatch_id, std::string> Names;
   /// Request ids that agents retain.
@@ -496,6 +510,7 @@
 
   uint64_t Step = 1;
   uint64_t Version = 1;
+  uint64_t StepVersion = 1;
   uint64_t EngineVersion = 1;
   uint64_t Epoch = 0;
   std::set<sample_key> Have;
