--- a/process_tests/processes.py
+++ b/process_tests/processes.py
@@ -19,11 +19,18 @@
 BUILD = pathlib.Path(os.environ.get("CARDAMOM_BUILD", "build")).resolve()
 
 
+_ports_given = set()
+
+
 def free_port():
-    """Returns a TCP port that was free a moment ago."""
-    with socket.socket() as probe:
-        probe.bind((HOST, 0))
-        return probe.getsockname()[1]
+    """Returns a TCP port that was free a moment ago and was not returned before."""
+    while True:
+        with socket.socket() as probe:
+            probe.bind((HOST, 0))
+            port = probe.getsockname()[1]
+        if port not in _ports_given:
+            _ports_given.add(port)
+            return port
 
 
 def http_call(address, method, path, body=None, headers=None, timeout=10):
@@ -232,6 +239,7 @@
         try:
             self.start()
         except BaseException:
+            self.print_logs()
             self.stop()
             raise
         return self
@@ -291,7 +299,7 @@
     def start_agent(self, upstream):
         upstream.agent = self.spawn(f"agent-{upstream.name}", [
             BUILD / "cardamomd", "--role", "agent", "--name", upstream.name,
-            "--failure-domain", upstream.domain, "--inner-listen", upstream.agent_address,
+            "--failure-domain", upstream.domain, "--region", "r1", "--inner-listen", upstream.agent_address,
             "--http-listen", upstream.agent_http,
             "--upstream", upstream.address, "--order-port", upstream.order_port,
             "--store", self.store])
@@ -299,7 +307,7 @@
     def start_entry(self, entry, extra=()):
         entry["process"] = self.spawn(entry["name"], [
             BUILD / "cardamomd", "--role", "entry", "--name", entry["name"],
-            "--failure-domain", entry["domain"], "--inner-listen", entry["inner"],
+            "--failure-domain", entry["domain"], "--region", "r1", "--inner-listen", entry["inner"],
             "--http-listen", entry["http"], "--store", self.store, "--drain-notice-ms", "300", *extra])
 
     def ctl(self, *args, check=True):
@@ -315,7 +323,7 @@
         directory = pathlib.Path(self.directory.name)
         (directory / "inventory.csv").write_text(self.inventory())
         (directory / "rules.json").write_text(json.dumps(self.rules))
-        return self.ctl("apply", "--inventory", directory / "inventory.csv", "--rules", directory / "rules.json",
+        return self.ctl("apply", directory / "inventory.csv", directory / "rules.json",
                         check=check)
 
     def wait_ready(self, entry, timeout_s=START_TIMEOUT_S):
