Acknowledge every run whose answer nobody needs any more

Cause: an agent stops only when the answers it keeps are acknowledged or after 120 s, and refused, cancelled or abandoned runs were never acknowledged. Change: the dispatcher acknowledges runs that ended without a complete answer and waits in the background for abandoned ones; answers of requests with an idempotency key stay, because a repeat may ask for them; the step owner acknowledges the last samples of a step 5 s after its last draw. RUN_UNKNOWN with reason wrong_incarnation never counts as never seen.

--- a/entry/caller_relay.cpp
+++ b/entry/caller_relay.cpp
@@ -51,6 +51,8 @@
   time_point GiveUpAt;
   dispatch_id Id = 0;
   bool Ended = false;
+  /// The agent keeps the answer for repeats with the same idempotency key.
+  bool KeepAnswer = false;
   /// First event, which decided on the status.
   std::optional<relay_event> First;
   uint64_t Version = 0;
@@ -108,7 +110,8 @@
   }
 
   void acknowledge(const dispatch_result &Result) {
-    Dispatcher.acknowledge(Result.Address, Result.RequestId);
+    if (!KeepAnswer)
+      Dispatcher.acknowledge(Result.Address, Result.RequestId);
   }
 };
 
@@ -342,7 +345,9 @@
       Add(Name, Value);
   if (!Caller.ContentType.empty())
     Add("Content-Type", Caller.ContentType);
+  const bool Keyed = !Run.idempotency_key().empty();
   const auto Relay = startRelay(std::move(Call), true);
+  Relay->KeepAnswer = Keyed;
   streamPlain(Relay, Request.method == "HEAD", Response);
 }
 
--- a/entry/dispatcher.cpp
+++ b/entry/dispatcher.cpp
@@ -94,11 +94,41 @@
   finish(R, outcome_kind::Cancelled, std::move(Verdict));
 }
 
+// Calls OnEnd now and goes on in the background until the run has ended, which
+// it must before its agent can stop.
+void dispatcher::leave(request &R, time_point Now) {
+  static constexpr milliseconds BackgroundLimit{15000};
+  if (R.Call.Request->idempotent()) {
+    R.CancelSent = true;
+    sendCancel(R);
+  }
+  dispatch_result Result;
+  Result.Kind = outcome_kind::Cancelled;
+  Result.Verdict =
+      combine(R.Verdict, classify(outcomeOf(R, outcome_kind::Cancelled)));
+  Result.RequestId = R.RunId;
+  R.Sink.OnEnd(Result);
+  R.Sink = {};
+  R.Sink.OnEnd = [](const dispatch_result &) {};
+  R.Abandoned = true;
+  R.Call.MaxAttempts = 0;
+  R.Call.ManualConsume = false;
+  if (R.Stream != 0)
+    Options.Consume(R.Stream, std::exchange(R.Unconsumed, 0));
+  if (R.Call.Request->idempotent())
+    R.Call.Deadline = std::min(R.Call.Deadline, Now + BackgroundLimit);
+  wakeAt(R, R.Phase == request_phase::Reconnecting ? Now : R.Call.Deadline);
+}
+
 void dispatcher::abandon(dispatch_id Id) {
-  withRequest(Id, [this](request &R, time_point) {
-    if (R.Phase != request_phase::Waiting && R.Call.Request->idempotent())
-      sendCancel(R);
-    endHere(R);
+  withRequest(Id, [this](request &R, time_point Now) {
+    // A repeat of a request with a key may still ask for the answer.
+    const bool Repeatable = !R.Call.Request->idempotent() &&
+                            !R.Call.Request->idempotency_key().empty();
+    if (R.Phase == request_phase::Waiting || Repeatable)
+      endHere(R);
+    else if (!R.Abandoned)
+      leave(R, Now);
   });
 }
 
--- a/entry/dispatcher.h
+++ b/entry/dispatcher.h
@@ -86,8 +86,9 @@
   /// Asks the agent to cancel the run. OnEnd follows with what the run
   /// produced, or with Cancelled when nothing was sent yet.
   void cancel(dispatch_id Id);
-  /// Ends the request here at once, as Cancelled. The agent is told to cancel
-  /// the run when it is idempotent.
+  /// Calls OnEnd at once, as Cancelled. The agent is told to cancel the run
+  /// when it is idempotent. The answer of a request without an idempotency key
+  /// is acknowledged when it has ended, since nobody can ask for it again.
   void abandon(dispatch_id Id);
   /// Ends the request here at once, as Cancelled, and leaves the run alone, so
   /// that another entry can adopt it.
@@ -141,6 +142,7 @@
                   const std::string &Message);
   void sendCancel(const request &R);
   void endHere(request &R);
+  void leave(request &R, time_point Now);
 
   // Events (dispatcher_events.cpp).
   void onMessage(request &R, std::string_view Message, time_point Now);
--- a/entry/dispatcher_events.cpp
+++ b/entry/dispatcher_events.cpp
@@ -93,7 +93,10 @@
   case wire::CANCELLED:
     return outcome_kind::Cancelled;
   case wire::RUN_UNKNOWN:
-    return Attaching ? outcome_kind::NeverSeen : outcome_kind::BadAnswer;
+    if (End.reason() == "wrong_incarnation")
+      return outcome_kind::OtherIncarnation;
+    return Attaching && End.reason() != "bad_request" ? outcome_kind::NeverSeen
+                                                      : outcome_kind::BadAnswer;
   case wire::ANSWER_GONE:
     return outcome_kind::AnswerGone;
   case wire::KEY_CLAIMED:
@@ -103,8 +106,27 @@
   }
 }
 
+// Whether the agent keeps the answer of a run that ended so.
+static bool leavesRecord(outcome_kind Kind) {
+  switch (Kind) {
+  case outcome_kind::RefusedByAgent:
+  case outcome_kind::RefusedAfterAttach:
+  case outcome_kind::NeverSeen:
+  case outcome_kind::OtherIncarnation:
+  case outcome_kind::AnswerGone:
+    return false;
+  default:
+    return true;
+  }
+}
+
 void dispatcher::onEnd(request &R, const wire::run_end &End, time_point Now) {
   outcome_kind Kind = kindOf(End, R.Attaching);
+  // The user acknowledges a complete answer. Nobody needs any other: what it
+  // had has been relayed, and its agent stops only when all are acknowledged.
+  if (!R.HolderAttached && leavesRecord(Kind) &&
+      (Kind != outcome_kind::Completed || R.Abandoned))
+    acknowledge(R.Address, R.RunId);
   if (Kind == outcome_kind::KeyClaimed && !R.HolderAttached) {
     attachToHolder(R, End, Now);
     return;
--- a/entry/dispatcher_request.h
+++ b/entry/dispatcher_request.h
@@ -44,6 +44,8 @@
   /// Since when nothing has been received; set while AttachTries counts.
   time_point BrokenAt{};
   bool CancelSent = false;
+  /// OnEnd has been called; the run is only awaited to acknowledge it.
+  bool Abandoned = false;
   inner_client::stream_id Stream = 0;
   /// Tells events of the present stream from those of earlier ones.
   uint64_t StreamSerial = 0;
--- a/entry/step_owner.cpp
+++ b/entry/step_owner.cpp
@@ -258,7 +258,7 @@
     return;
   const waiting_draw Answered = *std::exchange(WaitingDraw, std::nullopt);
   http_reply Reply;
-  Reply.Body = drawBody(*Step, Answered.Draw, Given);
+  Reply.Body = drawBody(*Step, Answered.Draw, Given, Now);
   Answered.Answer({std::move(Reply), {}});
 }
 
@@ -276,7 +276,8 @@
 }
 
 std::string step_owner::drawBody(active_step &Step, const draw_request &Draw,
-                                 const std::vector<step_sample *> &Given) {
+                                 const std::vector<step_sample *> &Given,
+                                 time_point Now) {
   std::set<sample_key> Present(Draw.Have.begin(), Draw.Have.end());
   const uint64_t Bound = rule().StalenessBound;
   json Samples = json::array();
@@ -298,10 +299,12 @@
                        "a draw never returns tokens without a weight version");
     Samples.push_back(sampleJson(*Sample));
   }
-  const json Body = {
-      {"epoch", Lease.epoch()},
-      {"samples", std::move(Samples)},
-      {"complete", Present.size() == Step.Samples.samples().size()}};
+  const bool Complete = Present.size() == Step.Samples.samples().size();
+  if (Complete)
+    Step.CompleteSince = Now;
+  const json Body = {{"epoch", Lease.epoch()},
+                     {"samples", std::move(Samples)},
+                     {"complete", Complete}};
   return Body.dump(-1, ' ', false, json::error_handler_t::replace);
 }
 
@@ -312,6 +315,7 @@
       Step->AdoptUntil.reset();
     dispatchWaiting(*Step, Now);
     repeatScores(*Step, Now);
+    acknowledgeComplete(*Step, Now);
     cancelStale(*Step);
     moveStragglers(*Step, Now);
   }
--- a/entry/step_owner.h
+++ b/entry/step_owner.h
@@ -123,6 +123,8 @@
     /// Runs start when the agents have answered, or at this time.
     std::optional<time_point> AdoptUntil;
     time_point StragglersAt{};
+    /// Since when an answer has given the trainer all it did not have.
+    std::optional<time_point> CompleteSince;
   };
 
   void onSettled(time_point Now);
@@ -138,7 +140,7 @@
   /// it in any case.
   void answerDraw(bool Force, time_point Now);
   std::string drawBody(active_step &Step, const draw_request &Draw,
-                       const std::vector<step_sample *> &Given);
+                       const std::vector<step_sample *> &Given, time_point Now);
 
   void makeRoom(uint64_t NewStep);
   void dropStep(active_step &Step, bool CancelRuns);
@@ -160,6 +162,7 @@
   void startScore(active_step &Step, step_sample &Sample, time_point Now);
   void onScored(uint64_t Step, sample_key Key, dispatch_id Id,
                 const run_ended &End, time_point Now);
+  void acknowledgeComplete(active_step &Step, time_point Now);
   void repeatScores(active_step &Step, time_point Now);
   void cancelStale(active_step &Step);
   void moveStragglers(active_step &Step, time_point Now);
--- a/entry/step_owner_runs.cpp
+++ b/entry/step_owner_runs.cpp
@@ -141,7 +141,6 @@
     metrics::get()
         .counter("samples_resumed_total", "reason", End.Result.Verdict.Reason)
         .add();
-    Options.Acknowledge(Sample->RunAddress, Sample->RunId);
     if (Moved || End.Result.Kind == outcome_kind::UpstreamFailed)
       Sample->Exclude = {End.Result.Upstream};
     Sample->NotBefore = Now + (Moved ? milliseconds(0) : RepeatMin);
@@ -246,6 +245,19 @@
   dispatchWaiting(*Step, Now);
 }
 
+// The last answer of a step may be lost, so its samples stay here. Their
+// agents need not keep them as well once the trainer is quiet.
+void step_owner::acknowledgeComplete(active_step &Step, time_point Now) {
+  static constexpr milliseconds QuietTime{5000};
+  if (!Step.CompleteSince || Now - *Step.CompleteSince < QuietTime)
+    return;
+  Step.CompleteSince.reset();
+  for (step_sample &Sample : Step.Samples.samples())
+    if (Sample.State == sample_state::Done && !Sample.RunId.empty())
+      Options.Acknowledge(Sample.RunAddress,
+                          std::exchange(Sample.RunId, std::string()));
+}
+
 void step_owner::repeatScores(active_step &Step, time_point Now) {
   for (step_sample &Sample : Step.Samples.samples())
     if (Sample.State == sample_state::Scoring && Sample.Run == 0 &&
