Keep answers of keyed requests after the acknowledgement

An agent also waited 30 s and more at SIGTERM for samples that the trainer acknowledges only with its next draw. Change: answers of keyed requests stay for 10 minutes within the bounds; samples that were read to the end do not delay a shutdown.

--- a/agent/agent_requests.cpp
+++ b/agent/agent_requests.cpp
@@ -82,12 +82,13 @@
                                     milliseconds(0)));
   const time_point Now = steady_clock::now();
   const std::string &Id = Request.request_id();
-  const insert_result Inserted =
-      Table.insert({.RequestId = Id,
-                    .Attempt = Request.attempt(),
-                    .Idempotent = Request.idempotent(),
-                    .Sample = Request.sample()},
-                   Now);
+  const insert_result Inserted = Table.insert(
+      {.RequestId = Id,
+       .Attempt = Request.attempt(),
+       .Idempotent = Request.idempotent(),
+       .Sample = Request.sample(),
+       .Keyed = !Request.idempotent() && !Request.idempotency_key().empty()},
+      Now);
   if (Inserted == insert_result::TableFull)
     return sendEnd(*Stream,
                    refusal("run_table_full", "too many runs are retained",
--- a/agent/run_table.cpp
+++ b/agent/run_table.cpp
@@ -89,15 +89,25 @@
   TotalBytes -= Read;
 }
 
+bool run_table::dropOldestAnswer() {
+  // Answers of keyed requests are dropped last: without them a repeated
+  // deposit or booking gets an error.
+  std::deque<std::string> &Ids =
+      WithAnswer.empty() ? WithKeyedAnswer : WithAnswer;
+  if (Ids.empty())
+    return false;
+  if (record *Oldest = find(Ids.front()))
+    dropAnswer(*Oldest);
+  Ids.pop_front();
+  return true;
+}
+
 bool run_table::makeRoom(record &Record, size_t Bytes) {
   const auto Fits = [&] {
     return Record.Body.size() + Bytes <= Options.MaxAnswerBytes &&
            TotalBytes + Bytes <= Options.MaxTotalBytes;
   };
-  while (TotalBytes + Bytes > Options.MaxTotalBytes && !WithAnswer.empty()) {
-    if (record *Oldest = find(WithAnswer.front()))
-      dropAnswer(*Oldest);
-    WithAnswer.pop_front();
+  while (TotalBytes + Bytes > Options.MaxTotalBytes && dropOldestAnswer()) {
   }
   if (!Fits())
     dropReadBytes(Record);
@@ -151,8 +161,7 @@
     Unfinished.erase(std::string(Id));
     (Refused ? EndedRefused : Ended).emplace_back(Id);
     if (!Refused) {
-      WithAnswer.emplace_back(Id);
-      ++Held;
+      (Record->Spec.Keyed ? WithKeyedAnswer : WithAnswer).emplace_back(Id);
     }
   }
   changed(Id);
@@ -235,12 +244,15 @@
   // Assignment of an empty string would keep the capacity.
   std::string().swap(Record.Body);
   advance(Record, wire::FINISHED_ANSWER_GONE);
-  --Held;
 }
 
 void run_table::acknowledge(std::string_view Id, time_point Now) {
   std::lock_guard Lock(Mutex);
-  if (record *Record = find(Id))
+  record *Record = find(Id);
+  if (Record == nullptr || !Record->End)
+    return;
+  Record->Acknowledged = true;
+  if (!Record->Spec.Keyed)
     dropAnswer(*Record);
 }
 
@@ -298,15 +310,16 @@
   Records.erase(It);
 }
 
-void run_table::dropOldAnswers(time_point Now) {
-  while (!WithAnswer.empty()) {
-    record *Record = find(WithAnswer.front());
+void run_table::dropOldAnswers(std::deque<std::string> &Ids,
+                               milliseconds Retention, time_point Now) {
+  while (!Ids.empty()) {
+    record *Record = find(Ids.front());
     if (Record != nullptr && Record->State == wire::FINISHED) {
-      if (Now - Record->EndedAt < Options.AnswerRetention)
+      if (Now - Record->EndedAt < Retention)
         return;
       dropAnswer(*Record);
     }
-    WithAnswer.pop_front();
+    Ids.pop_front();
   }
 }
 
@@ -336,7 +349,8 @@
 
 void run_table::tick(time_point Now) {
   std::lock_guard Lock(Mutex);
-  dropOldAnswers(Now);
+  dropOldAnswers(WithAnswer, Options.AnswerRetention, Now);
+  dropOldAnswers(WithKeyedAnswer, Options.KeyedRetention, Now);
   dropRecords(Ended, Options.RecordRetention, Now);
   dropRecords(EndedRefused, Options.RefusedRetention, Now);
   dropTombstones(Now);
@@ -352,9 +366,21 @@
   return Unfinished.size();
 }
 
+size_t run_table::countNeeded(const std::deque<std::string> &Ids) const {
+  const auto IsNeeded = [this](const std::string &Id) {
+    const record *Record = find(Id);
+    if (Record == nullptr || Record->State != wire::FINISHED ||
+        Record->Acknowledged)
+      return false;
+    const uint64_t Length = Record->BaseOffset + Record->Body.size();
+    return Record->Spec.Sample.empty() || Record->ReadOffset < Length;
+  };
+  return size_t(std::count_if(Ids.begin(), Ids.end(), IsNeeded));
+}
+
 size_t run_table::unacknowledged() const {
   std::lock_guard Lock(Mutex);
-  return Held;
+  return countNeeded(WithAnswer) + countNeeded(WithKeyedAnswer);
 }
 
 size_t run_table::bytes() const {
--- a/agent/run_table.h
+++ b/agent/run_table.h
@@ -49,6 +49,9 @@
   bool Idempotent = false;
   /// "trainer/step/group/index"; empty for live requests.
   std::string Sample;
+  /// A caller may repeat the request with its idempotency key and expects the
+  /// same answer, which is therefore kept after the acknowledgement.
+  bool Keyed = false;
 };
 
 enum class insert_result {
@@ -99,6 +102,8 @@
   size_t MaxAnswerBytes = size_t(8) << 20;
   size_t MaxTotalBytes = size_t(64) << 20;
   milliseconds AnswerRetention{120000};
+  /// Answers of keyed requests.
+  milliseconds KeyedRetention{600000};
   milliseconds RecordRetention{600000};
   /// A refused request never ran, so that forgetting it early is harmless: a
   /// query then answers never_seen.
@@ -149,7 +154,10 @@
 
   [[nodiscard]] size_t records() const;
   [[nodiscard]] size_t unfinished() const;
-  /// Ended runs whose answer is held and not acknowledged.
+  /// Ended runs whose answer a peer may still need: held, not acknowledged,
+  /// and, for samples, not read to the end. The owner of a step acknowledges a
+  /// sample only with the trainer's next draw, and generates it again if need
+  /// be. Costs O(n) in the number of held answers.
   [[nodiscard]] size_t unacknowledged() const;
   [[nodiscard]] size_t bytes() const;
 
@@ -168,6 +176,7 @@
     std::vector<wire::version_span> Spans;
     std::optional<wire::run_end> End;
     time_point EndedAt;
+    bool Acknowledged = false;
     /// 0 = no reader.
     uint64_t Reader = 0;
     time_point DetachedAt;
@@ -185,7 +194,10 @@
   bool makeRoom(record &Record, size_t Bytes);
   void dropReadBytes(record &Record);
   void dropAnswer(record &Record);
-  void dropOldAnswers(time_point Now);
+  void dropOldAnswers(std::deque<std::string> &Ids, milliseconds Retention,
+                      time_point Now);
+  bool dropOldestAnswer();
+  [[nodiscard]] size_t countNeeded(const std::deque<std::string> &Ids) const;
   void forget(record_map::iterator It, time_point Now);
   void dropRecords(std::deque<std::string> &Ended, milliseconds Retention,
                    time_point Now);
@@ -203,11 +215,11 @@
   std::deque<std::string> EndedRefused;
   /// Ids whose answer may be held, in the order of their ends.
   std::deque<std::string> WithAnswer;
+  std::deque<std::string> WithKeyedAnswer;
   std::deque<tombstone> Tombstones;
   std::unordered_map<uint64_t, unsigned> TombstoneHashes;
   size_t TotalBytes = 0;
   std::set<std::string> Unfinished;
-  size_t Held = 0;
   uint64_t LastReader = 0;
 };
 
--- a/agent/run_table_test.cpp
+++ b/agent/run_table_test.cpp
@@ -11,6 +11,8 @@
   CPPUNIT_TEST(longAnswerPassesThroughReader);
   CPPUNIT_TEST(listsOrphansAndSamples);
   CPPUNIT_TEST(refusedRequestMayComeAgain);
+  CPPUNIT_TEST(keepsKeyedAnswerAfterAcknowledgement);
+  CPPUNIT_TEST(stopDoesNotWaitForSamplesThatWereRead);
   CPPUNIT_TEST_SUITE_END();
 
   static void complete(run_table &Table, std::string_view Id,
@@ -108,6 +110,37 @@
     Table.finish("a", {}, {});
     CPPUNIT_ASSERT(Insert(2) == insert_result::Known);
   }
+
+  // Guards against an error for a caller that repeats a deposit after its
+  // answer was received and acknowledged.
+  void keepsKeyedAnswerAfterAcknowledgement() {
+    run_table Table({});
+    Table.insert({.RequestId = "k", .Keyed = true}, {});
+    Table.start("k");
+    Table.append("k", "receipt");
+    Table.finish("k", {}, {});
+    CPPUNIT_ASSERT_EQUAL(size_t(1), Table.unacknowledged());
+    Table.acknowledge("k", {});
+    CPPUNIT_ASSERT_EQUAL(size_t(0), Table.unacknowledged());
+    run_cursor Cursor;
+    const uint64_t Token = *Table.attach("k", {});
+    CPPUNIT_ASSERT_EQUAL(std::string("receipt"),
+                         Table.read("k", Token, Cursor, 100).Bytes);
+  }
+
+  // Guards against a graceful shutdown that waits for the trainer's next draw.
+  void stopDoesNotWaitForSamplesThatWereRead() {
+    run_table Table({});
+    Table.insert({.RequestId = "s", .Idempotent = true, .Sample = "t/1/0/0"},
+                 {});
+    Table.start("s");
+    Table.append("s", "text");
+    Table.finish("s", {}, {});
+    CPPUNIT_ASSERT_EQUAL(size_t(1), Table.unacknowledged());
+    run_cursor Cursor;
+    Table.read("s", *Table.attach("s", {}), Cursor, 100);
+    CPPUNIT_ASSERT_EQUAL(size_t(0), Table.unacknowledged());
+  }
 };
 
 CPPUNIT_TEST_SUITE_NAMED_REGISTRATION(run_table_test, "run_table_test");
--- a/process_tests/workload.py
+++ b/process_tests/workload.py
@@ -77,7 +77,7 @@
 
     def _check(self, identity, body):
         try:
-            if json.loads(body)["id"] == identity:
+            if json.loads(body)["key"] == identity:
                 return "ok"
         except (ValueError, KeyError):
             pass
