--- a/process_tests/processes.py
+++ b/process_tests/processes.py
@@ -121,6 +121,11 @@
             except OSError:
                 pass
 
+    def _drop(self, pair):
+        self._close(pair)
+        pair["client"].close()
+        pair["server"].close()
+
     def silence(self):
         """Existing connections stay open and pass nothing more; new ones work."""
         with self.lock:
@@ -130,7 +135,7 @@
     def cut(self):
         with self.lock:
             for pair in self.pairs:
-                self._close(pair)
+                self._drop(pair)
             self.pairs = []
 
     def close(self):
