Close the inner server gently and fix three edges of the inner protocol

Cause: (1) stop() closed sockets with unread bytes, which resets the connection and loses complete responses. (2) onWritable() was not signalled when pending bytes passed through exactly 64 KiB. (3) holdWindow() could take effect after bytes that the server sent later. (4) A connection that is closed at once after hello_ok, as with two clients of one identity, was opened again at the shortest delay for ever.

Change: stop() ends the sending side and waits up to 200 ms for the peers to close; the mark counts as above; the I/O thread runs posted tasks before it handles sockets; back-off starts anew only after a connection that lasted for SilenceLimit. addPeer() makes the peer known to peer() at once.

Conclusion: a planned stop keeps complete responses of peers that read.

--- a/inner/backoff.h
+++ b/inner/backoff.h
@@ -15,14 +15,14 @@
   milliseconds Max{2000};
 };
 
-/// Min doubled for each failed attempt after the first, up to Max, of which a
+/// Min doubled for each failure after the first, up to Max, of which a
 /// random part between one half and all is taken: without jitter all clients
 /// of a restarted server would connect at the same moments. Random is in
 /// [0, 1).
 inline milliseconds backoffDelay(const backoff_options &Options,
-                                 unsigned FailedAttempts, double Random) {
+                                 unsigned Failures, double Random) {
   milliseconds Delay = std::min(Options.Min, Options.Max);
-  for (unsigned I = 1; I < FailedAttempts && Delay < Options.Max; ++I)
+  for (unsigned I = 1; I < Failures && Delay < Options.Max; ++I)
     Delay = std::min(Delay * 2, Options.Max);
   const double Count = static_cast<double>(Delay.count()) * (1 + Random) / 2;
   return milliseconds(static_cast<int64_t>(Count));
--- a/inner/client_peer.h
+++ b/inner/client_peer.h
@@ -47,6 +47,9 @@
   uint64_t Epoch = 0;
   peer_identity Identity;
   unsigned FailedAttempts = 0;
+  /// Failed or short-lived connections in a row.
+  unsigned BackoffStep = 0;
+  time_point UpSince;
   int32_t ControlStream = 0;
   std::shared_ptr<outbound_queue> Control;
   /// Requests that wait for hello_ok, in the order of the calls.
--- a/inner/frame_codec_test.cpp
+++ b/inner/frame_codec_test.cpp
@@ -1,5 +1,6 @@
 #include "inner/backoff.h"
 #include "inner/frame_codec.h"
+#include "inner/outbound_queue.h"
 
 #include <cppunit/extensions/HelperMacros.h>
 #include <rapidcheck.h>
@@ -12,6 +13,7 @@
   CPPUNIT_TEST_SUITE(frame_codec_test);
   CPPUNIT_TEST(survivesAnySplit);
   CPPUNIT_TEST(refusesOversizedFrames);
+  CPPUNIT_TEST(queueSignalsRoom);
   CPPUNIT_TEST(boundsReconnectDelay);
   CPPUNIT_TEST_SUITE_END();
 
@@ -56,6 +58,29 @@
         std::length_error);
   }
 
+  // Guards against a sender that waits for ever because the pending bytes
+  // passed the mark in steps that touch it exactly.
+  void queueSignalsRoom() {
+    constexpr size_t Mark = outbound_queue::WritableBytes;
+    outbound_queue Queue(4 * Mark);
+    using result = outbound_queue::push_result;
+    for (int I = 0; I < 2; ++I)
+      CPPUNIT_ASSERT(Queue.push(std::string(Mark - FrameHeaderBytes, 'x')) ==
+                     result::Queued);
+    CPPUNIT_ASSERT(Queue.push(std::string(3 * Mark, 'x')) == result::Full);
+    std::vector<uint8_t> Out(Mark / 2);
+    int Signals = 0;
+    while (Queue.pending() > 0) {
+      const bool Writable = Queue.take(Out).Writable;
+      Signals += Writable ? 1 : 0;
+      CPPUNIT_ASSERT_EQUAL(Queue.pending() == Mark / 2, Writable);
+    }
+    CPPUNIT_ASSERT_EQUAL(1, Signals);
+    Queue.finish();
+    CPPUNIT_ASSERT(Queue.take(Out).Last);
+    CPPUNIT_ASSERT(Queue.push("x") == result::Closed);
+  }
+
   // Guards against clients that reconnect in step, or not at all.
   void boundsReconnectDelay() {
     const backoff_options Options = {milliseconds(50), milliseconds(2000)};
--- a/inner/http2_connection.cpp
+++ b/inner/http2_connection.cpp
@@ -18,6 +18,8 @@
 // Bytes taken from nghttp2 before they are written. Requests in this buffer
 // have not been handed to the socket.
 static constexpr size_t WriteBytes = size_t(64) << 10;
+// Kept between writes, so that small messages need no allocation.
+static constexpr size_t IdleBytes = 2048;
 // Streams have their own windows; that of the connection is not to limit them.
 static constexpr int32_t ConnectionWindowBytes = 16 << 20;
 // Resets by trusted peers: an entry may cancel all its runs at once.
@@ -401,9 +403,9 @@
     if (Unwritten.empty())
       break;
   }
-  // An idle connection holds no buffer.
-  if (Unwritten.empty())
-    Unwritten.shrink_to_fit();
+  // An idle connection holds no large buffer.
+  if (Unwritten.empty() && Unwritten.capacity() > IdleBytes)
+    Unwritten = {};
   checkEnded();
 }
 
--- a/inner/inner_client.cpp
+++ b/inner/inner_client.cpp
@@ -314,10 +314,14 @@
   Peer.NeedsFlush = false;
   Peer.Phase = phase::Waiting;
   Peer.FailedAttempts = WasUp ? 0 : Peer.FailedAttempts + 1;
+  // A connection that does not last must not be opened again and again at the
+  // shortest delay.
+  const bool Lasted = WasUp && Now - Peer.UpSince >= Options.SilenceLimit;
+  Peer.BackoffStep = Lasted ? 0 : Peer.BackoffStep + 1;
   const double Jitter = std::uniform_real_distribution<>(0, 1)(Random);
   Peer.Deadline =
       Now + backoffDelay({Options.ReconnectMin, Options.ReconnectMax},
-                         Peer.FailedAttempts, Jitter);
+                         Peer.BackoffStep, Jitter);
   Loop->setTimer(Peer.Deadline);
   publish(Peer);
   if (WasUp)
@@ -388,6 +392,7 @@
                    .Role = {}};
   Peer.Phase = phase::Up;
   Peer.FailedAttempts = 0;
+  Peer.UpSince = Now;
   Loop->setTimer(deadlineOf(Peer));
   publish(Peer);
   metrics::get().counter("inner_client_connects_total").add();
@@ -524,6 +529,16 @@
 
 void inner_client::addPeer(std::string_view Address) {
   const socket_address Target = parseAddress(Address);
+  {
+    // Known to peer() from now on.
+    std::lock_guard Lock(State->StatusMutex);
+    const auto Added =
+        State->Status.try_emplace(std::string(Address), peer_status());
+    if (Added.second)
+      Added.first->second = {.Address = std::string(Address),
+                             .Identity = {},
+                             .Since = steady_clock::now()};
+  }
   State->Loop->post(
       [S = State.get(), Name = std::string(Address), Target](time_point Now) {
         S->Now = Now;
--- a/inner/inner_client.h
+++ b/inner/inner_client.h
@@ -10,7 +10,11 @@
 ///                             {.OnMessage = ..., .OnClose = ...});
 ///
 /// One I/O thread serves all connections and calls the hooks, which must not
-/// block. Memory is bounded by 256 KiB of unread data a stream.
+/// block or throw. A stream holds at most 256 KiB of unread data and one
+/// message. start() and stop() are called once, and stop() by no hook.
+///
+/// A process has one client: epochs are counted by the client, so two clients
+/// with the same identity would close each other's connections.
 
 #ifndef CARDAMOM_INNER_INNER_CLIENT_H
 #define CARDAMOM_INNER_INNER_CLIENT_H
@@ -100,14 +104,17 @@
   void removePeer(std::string_view Address);
 
   /// Sends one message as a request on the present connection. When the peer
-  /// is not connected, OnClose is called with NeverSent.
+  /// is not connected, OnClose is called with NeverSent; a connection that
+  /// waits for hello_ok keeps up to 256 requests until then. The hooks are
+  /// called on the I/O thread, after stop() on this one. Throws
+  /// std::length_error on a message above 1 MiB.
   stream_id open(std::string_view Address, std::string_view Path,
                  std::string_view Message, stream_hooks Hooks);
   /// Resets the stream; OnClose follows. Does nothing when it has ended.
   void cancel(stream_id Stream);
   /// With manual consumption the server may send 256 KiB beyond what was
   /// consumed here. Streams consume by themselves unless holdWindow() was
-  /// called for them.
+  /// called for them. Bytes counts those of messages.
   void holdWindow(stream_id Stream);
   void consume(stream_id Stream, size_t Bytes);
 
--- a/inner/inner_flow_thread_test.cpp
+++ b/inner/inner_flow_thread_test.cpp
@@ -1,4 +1,5 @@
 #include "inner/frame_codec.h"
+#include "inner/gen/messages.pb.h"
 #include "inner/http2_connection.h"
 #include "inner/test_peers.h"
 
@@ -19,6 +20,7 @@
   CPPUNIT_TEST(cancelReachesTheServer);
   CPPUNIT_TEST(resetsStreamsThatOverflow);
   CPPUNIT_TEST(handlesOutliveTheServer);
+  CPPUNIT_TEST(stopSendsWhatIsQueued);
   CPPUNIT_TEST_SUITE_END();
 
   /// A server that keeps the last stream, and a client connected to it.
@@ -209,6 +211,52 @@
     CPPUNIT_ASSERT(waitFor([&] { return Stream->closed(); }));
   }
 
+  // Guards against a planned stop that cuts responses which are complete. The
+  // client is slow, so that most bytes are still in the socket of the server,
+  // and sends in between, which resets a closed connection.
+  void stopSendsWhatIsQueued() {
+    constexpr size_t Streams = 8;
+    std::mutex Mutex;
+    std::vector<std::shared_ptr<server_stream>> Handles;
+    inner_server Server({.Self = testIdentity("server"),
+                         .OnRequest = [&](std::shared_ptr<server_stream> Given,
+                                          std::string_view, std::string_view) {
+                           std::lock_guard Lock(Mutex);
+                           Handles.push_back(std::move(Given));
+                         }});
+    Server.start();
+    std::atomic<bool> Blocked{false};
+    inner_client Client(
+        {.Self = testIdentity("client"),
+         .OnControl = [&](std::string_view, const peer_identity &,
+                          const wire::control_frame &) {
+           Blocked = true;
+           std::this_thread::sleep_for(milliseconds(50));
+         }});
+    Client.start();
+    const std::string Address = addressOf(Server.port());
+    Client.addPeer(Address);
+    CPPUNIT_ASSERT(waitUp(Client, Address));
+    std::vector<stream_record> Records(Streams);
+    for (stream_record &Record : Records)
+      Client.open(Address, "/run", "X", Record.hooks());
+    CPPUNIT_ASSERT(waitFor([&] {
+      std::lock_guard Lock(Mutex);
+      return Handles.size() == Streams;
+    }));
+    wire::control_frame Beat;
+    Beat.mutable_heartbeat()->set_sequence(1);
+    Server.broadcastControl(Beat);
+    CPPUNIT_ASSERT(waitFor([&] { return Blocked.load(); }));
+    for (const auto &Handle : Handles) {
+      Handle->send(std::string(size_t(200) << 10, 'x'));
+      Handle->finish();
+    }
+    Server.stop();
+    for (stream_record &Record : Records)
+      CPPUNIT_ASSERT(Record.wait() == stream_end::Finished);
+  }
+
   // Guards against a worker that answers after the server was destroyed.
   void handlesOutliveTheServer() {
     std::shared_ptr<server_stream> Stream;
--- a/inner/inner_server.cpp
+++ b/inner/inner_server.cpp
@@ -22,6 +22,8 @@
 static constexpr size_t MaxRememberedPeers = 16384;
 // A document of 1 MiB and the heartbeats behind it, several times.
 static constexpr size_t MaxControlBytes = size_t(8) << 20;
+// Bounds stop(): a peer that is alive closes within a round trip.
+static constexpr milliseconds StopLimit{200};
 // How long a process without free descriptors waits before it accepts again.
 static constexpr milliseconds AcceptPause{100};
 
@@ -271,11 +273,15 @@
 
 void inner_server::state::closeAll(std::string_view Reason) {
   Now = steady_clock::now();
-  while (!Connections.empty()) {
-    server_connection &Connection = *Connections.begin()->second;
-    Connection.Http2->flush();
-    closeConnection(Connection.Id, Reason);
+  std::vector<int> Sockets;
+  for (const auto &[Id, Connection] : Connections) {
+    Connection->Http2->flush();
+    if (!Connection->Http2->failed())
+      Sockets.push_back(Connection->Http2->fd());
   }
+  drainSockets(Sockets, StopLimit);
+  while (!Connections.empty())
+    closeConnection(Connections.begin()->first, Reason);
 }
 
 void inner_server::state::onRequest(server_connection &Connection,
--- a/inner/inner_server.h
+++ b/inner/inner_server.h
@@ -8,6 +8,10 @@
 ///   ...
 ///   Server.stop();           // closes all connections and joins the thread
 ///
+/// stop() sends what windows and sockets take at once, waits up to 200 ms for
+/// the peers to read it, and must not be called by a hook. A server is started
+/// once. Hooks must not throw.
+///
 /// One I/O thread parses all connections and calls the hooks, which must not
 /// block. A connection whose `hello` carries a higher epoch of the same
 /// (name, incarnation) closes the older connections, and discards their unread
--- a/inner/io_loop.cpp
+++ b/inner/io_loop.cpp
@@ -113,6 +113,9 @@
       ::epoll_wait(Epoll.get(), Events.data(), MaxEvents, Timeout);
   if (Timeout != 0)
     Now = steady_clock::now();
+  // Before the sockets: what was posted before a peer sent bytes, such as a
+  // cancel, must take effect before they are handled.
+  runTasks(Now);
   for (int I = 0; I < Count; ++I) {
     const epoll_event &Event = Events[static_cast<size_t>(I)];
     if (Event.data.u64 != WakeId) {
--- a/inner/outbound_queue.cpp
+++ b/inner/outbound_queue.cpp
@@ -57,7 +57,7 @@
   }
   Pending -= Result.Bytes;
   Result.Last = Frames.empty() && (Finished || Closed);
-  Result.Writable = Before > WritableBytes && Pending < WritableBytes;
+  Result.Writable = Before >= WritableBytes && Pending < WritableBytes;
   return Result;
 }
 
--- a/inner/socket.cpp
+++ b/inner/socket.cpp
@@ -1,15 +1,18 @@
 #include "inner/socket.h"
 
+#include <array>
 #include <cerrno>
 #include <charconv>
 #include <cstring>
 #include <netdb.h>
 #include <netinet/in.h>
 #include <netinet/tcp.h>
+#include <poll.h>
 #include <stdexcept>
 #include <string>
 #include <system_error>
 #include <unistd.h>
+#include <vector>
 
 namespace cardamom {
 
@@ -125,6 +128,33 @@
          std::memcmp(&Local, &Remote, LocalLength) == 0;
 }
 
+// Returns whether the peer has closed.
+static bool discard(int Fd) {
+  std::array<char, 4096> Buffer;
+  for (;;) {
+    const ssize_t Got = ::recv(Fd, Buffer.data(), Buffer.size(), MSG_DONTWAIT);
+    if (Got <= 0)
+      return Got == 0 || (errno != EAGAIN && errno != EINTR);
+  }
+}
+
+void drainSockets(std::span<const int> Sockets, milliseconds Limit) {
+  const time_point End = steady_clock::now() + Limit;
+  std::vector<pollfd> Open;
+  for (int Fd : Sockets) {
+    ::shutdown(Fd, SHUT_WR);
+    Open.push_back({.fd = Fd, .events = POLLIN, .revents = 0});
+  }
+  while (!Open.empty() && steady_clock::now() < End) {
+    const auto Left =
+        std::chrono::ceil<milliseconds>(End - steady_clock::now());
+    ::poll(Open.data(), Open.size(), static_cast<int>(Left.count()));
+    std::erase_if(Open, [](const pollfd &Entry) {
+      return Entry.revents != 0 && discard(Entry.fd);
+    });
+  }
+}
+
 int connectResult(int Fd) {
   int Error = 0;
   socklen_t Length = sizeof(Error);
--- a/inner/socket.h
+++ b/inner/socket.h
@@ -4,7 +4,10 @@
 #ifndef CARDAMOM_INNER_SOCKET_H
 #define CARDAMOM_INNER_SOCKET_H
 
+#include "base/time.h"
+
 #include <cstdint>
+#include <span>
 #include <string_view>
 #include <sys/socket.h>
 #include <utility>
@@ -51,6 +54,10 @@
 
 /// Starts to connect without blocking; returns no descriptor on failure.
 unique_fd startConnect(const socket_address &Address);
+/// Ends the sending side of the sockets, then reads and discards until the
+/// peers have closed or Limit has passed. A close with unread bytes would reset
+/// the connection, and the peer could lose bytes that are on the way to it.
+void drainSockets(std::span<const int> Sockets, milliseconds Limit);
 /// To be called when the socket is writable: returns 0 or the errno of the
 /// failed attempt.
 int connectResult(int Fd);
