--- a/bench/inner_bench.cpp
+++ b/bench/inner_bench.cpp
@@ -10,7 +10,8 @@
 /// connections: round trips a second, median and p99 latency in microseconds,
 /// CPU microseconds per round trip (all threads, both sides), then heartbeat
 /// bytes a second and connection (both directions, HTTP/2 framing included,
-/// TCP and IP headers not). The first line is a plain TCP echo of the same
+/// TCP and IP headers not) and the CPU of one heartbeat in each direction, both
+/// sides together. The first line is a plain TCP echo of the same
 /// size between two blocking threads: on a shared machine only the ratio to it
 /// can be compared between runs.
 
@@ -258,6 +259,43 @@
   return static_cast<double>(Relay.relayed() - Before) / double(Beats);
 }
 
+/// CPU microseconds of one heartbeat in each direction, on both sides.
+static double heartbeatCpuUs() {
+  constexpr int Connections = 64;
+  constexpr int Rounds = 50;
+  std::atomic<int> Seen{0};
+  inner_server Server(
+      {.Self = testIdentity("server"),
+       .OnControl = [&](const peer_identity &, const wire::control_frame &) {
+         ++Seen;
+       }});
+  Server.start();
+  const std::string Address = addressOf(Server.port());
+  std::vector<std::unique_ptr<inner_client>> Clients;
+  Clients.reserve(Connections);
+  for (int I = 0; I < Connections; ++I) {
+    Clients.push_back(std::make_unique<inner_client>(inner_client_options{
+        .Self = testIdentity("client-" + std::to_string(I)),
+        .OnControl = [&](std::string_view, const peer_identity &,
+                         const wire::control_frame &) { ++Seen; }}));
+    Clients.back()->start();
+    Clients.back()->addPeer(Address);
+  }
+  for (const auto &Client : Clients)
+    waitUp(*Client, Address);
+  const double CpuBefore = cpuSeconds();
+  for (int I = 1; I <= Rounds; ++I) {
+    const wire::control_frame Frame = agentHeartbeat(static_cast<uint64_t>(I));
+    Server.broadcastControl(Frame);
+    for (const auto &Client : Clients)
+      Client->broadcastControl(Frame);
+    std::this_thread::sleep_for(milliseconds(10));
+    waitFor([&] { return Seen == 2 * Connections * I; });
+  }
+  const double Cpu = cpuSeconds() - CpuBefore;
+  return Cpu * 1e6 / (Connections * Rounds);
+}
+
 } // namespace cardamom
 
 int main(int Argc, char **Argv) {
@@ -277,5 +315,7 @@
                     Tcp);
   std::printf("heartbeat_bytes_per_s_and_connection %.1f\n",
               cardamom::heartbeatBytes());
+  std::printf("heartbeat_cpu_us_both_ways_and_sides %.1f\n",
+              cardamom::heartbeatCpuUs());
   return 0;
 }
--- a/inner/inner_failure_test.cpp
+++ b/inner/inner_failure_test.cpp
@@ -27,6 +27,7 @@
   CPPUNIT_TEST(closesOnMalformedFrames);
   CPPUNIT_TEST(refusesRequestsBeforeHello);
   CPPUNIT_TEST(boundsConnections);
+  CPPUNIT_TEST(slowsDownWhenClosedAtOnce);
   CPPUNIT_TEST_SUITE_END();
 
   static constexpr milliseconds Limit{300};
@@ -402,6 +403,26 @@
     CPPUNIT_ASSERT_EQUAL(0, Requests.load());
   }
 
+  // Guards against a storm of connections when two processes have one identity
+  // and close each other's connections.
+  void slowsDownWhenClosedAtOnce() {
+    std::atomic<int> Ups{0};
+    inner_server Server(
+        {.Self = testIdentity("server"),
+         .OnPeerUp = [&](const peer_identity &, uint64_t) { ++Ups; }});
+    Server.start();
+    inner_client First({.Self = testIdentity("client")});
+    inner_client Second({.Self = testIdentity("client")});
+    for (inner_client *Client : {&First, &Second}) {
+      Client->start();
+      Client->addPeer(addressOf(Server.port()));
+    }
+    std::this_thread::sleep_for(milliseconds(1500));
+    CPPUNIT_ASSERT(Ups >= 2);
+    // At the shortest delay there would be some 40.
+    CPPUNIT_ASSERT(Ups <= 14);
+  }
+
   // Guards against connections and streams without bound.
   void boundsConnections() {
     inner_server Server({.Self = testIdentity("server"), .MaxConnections = 1});
