Keep author and summary readable when they are cut

Cause: an author that is not UTF-8, or that is cut in the middle of a character, grew when it was encoded, so that the object written was refused by every reader. Found in review; configuration_test now covers it. Change: texts are made valid UTF-8 before they are cut at a character, and formatDocument() reads its result back before it returns it. Conclusion: no edit can write a document that readDocument() refuses.

--- a/config/configuration_document.cpp
+++ b/config/configuration_document.cpp
@@ -75,27 +75,46 @@
                        {"inventory", Document.Inventory},
                        {"rules", parseStrictJson("rules", Document.Rules)},
                        {"history", std::move(History)}};
-  // Text from the command line may not be UTF-8, which dump() would refuse.
+  // dump() would refuse text that is not UTF-8.
   std::string Json =
       Object.dump(-1, ' ', false, json::error_handler_t::replace);
   if (Json.size() > MaxConfigurationBytes)
     refuseInput({.File = DocumentName},
                 std::to_string(Json.size()) +
                     " bytes as JSON: allowed are at most 900000");
+  // What is written must be readable by every process.
+  readDocument(Json, Document.Version);
   return Json;
 }
 
+/// Valid UTF-8 of at most MaxBytes: an invalid byte becomes U+FFFD, which is
+/// longer, and no character is cut in the middle.
+static std::string toShortText(const std::string &Text, size_t MaxBytes) {
+  const std::string Encoded =
+      json(Text).dump(-1, ' ', false, json::error_handler_t::replace);
+  std::string Valid = json::parse(Encoded).get<std::string>();
+  if (Valid.size() <= MaxBytes)
+    return Valid;
+  size_t End = MaxBytes;
+  const auto IsContinuation = [](char C) { return (C & 0xc0) == 0x80; };
+  while (End > 0 && IsContinuation(Valid[End]))
+    --End;
+  Valid.resize(End);
+  return Valid;
+}
+
 configuration_document applyEdit(const configuration_document &Current,
                                  const configuration_edit &Edit) {
   configuration_document Next;
   Next.EditId = Edit.EditId;
-  Next.Author = Edit.Author.substr(0, MaxAuthorBytes);
+  Next.Author = toShortText(Edit.Author, MaxAuthorBytes);
   Next.Inventory = Edit.Inventory;
   Next.Rules = Edit.Rules;
-  Next.History.push_back({.EditId = Edit.EditId,
-                          .Author = Next.Author,
-                          .Time = Edit.Time,
-                          .Summary = Edit.Summary.substr(0, MaxSummaryBytes)});
+  Next.History.push_back(
+      {.EditId = Edit.EditId,
+       .Author = Next.Author,
+       .Time = Edit.Time,
+       .Summary = toShortText(Edit.Summary, MaxSummaryBytes)});
   for (const history_entry &Entry : Current.History) {
     if (Next.History.size() == MaxHistoryEntries)
       break;
--- a/config/configuration_document.h
+++ b/config/configuration_document.h
@@ -45,7 +45,8 @@
 /// config_error.
 configuration_document readDocument(std::string_view Json, uint64_t Version);
 
-/// Throws config_error when the document is larger than 900 KB.
+/// Throws config_error when the document is larger than 900 KB, or could not be
+/// read back.
 std::string formatDocument(const configuration_document &Document);
 
 /// What one edit changes.
@@ -58,8 +59,8 @@
   std::string Rules;
 };
 
-/// The document after Edit, with the newest 50 history entries. Cuts the
-/// summary to 200 bytes, so that the history stays small.
+/// The document after Edit, with the newest 50 history entries. Cuts the author
+/// to 128 bytes and the summary to 200, so that the history stays small.
 configuration_document applyEdit(const configuration_document &Current,
                                  const configuration_edit &Edit);
 
--- a/config/configuration_test.cpp
+++ b/config/configuration_test.cpp
@@ -245,19 +245,22 @@
   }
 
   // Guards against a history that grows until the store refuses the object,
-  // and against versions that are lost on the way.
+  // versions that are lost on the way, and an author or summary that makes the
+  // object unreadable.
   void keepsFiftyEditsInDocument() {
     configuration_document Current;
     for (int I = 1; I <= 60; ++I) {
       const configuration_edit Edit{.EditId = "edit" + std::to_string(I),
-                                    .Author = "ana",
+                                    .Author =
+                                        std::string(127, 'a') + "\xc3\xa3",
                                     .Time = "2026-12-04T04:00:00Z",
-                                    .Summary = std::string(1000, 's'),
+                                    .Summary = std::string(1000, '\xff'),
                                     .Inventory = Header + Rows,
                                     .Rules = Rules};
       const std::string Json = formatDocument(applyEdit(Current, Edit));
       Current = readDocument(Json, uint64_t(I) * 10);
     }
+    CPPUNIT_ASSERT_EQUAL(std::string(127, 'a'), Current.Author);
     CPPUNIT_ASSERT_EQUAL(MaxHistoryEntries, Current.History.size());
     CPPUNIT_ASSERT_EQUAL(uint64_t(600), Current.History.front().Version);
     CPPUNIT_ASSERT_EQUAL(uint64_t(110), Current.History.back().Version);
