Bound the emulators' memory by size and count

The store counted only values, so that many keys without a value were free; the engine and the service kept ids and prompts of any length. Keys now count towards the store's total, ids are limited to 256 bytes, prompts to 1 MiB, and 1024 runs may wait.

--- a/standins/batch_engine.cpp
+++ b/standins/batch_engine.cpp
@@ -14,6 +14,8 @@
 constexpr size_t MaxLoads = 256;
 /// A run pauses when its reader is this far behind.
 constexpr size_t MaxOutputBytes = 64 << 10;
+constexpr size_t MaxIdBytes = 256;
+constexpr size_t MaxPromptBytes = 1 << 20;
 constexpr double KvTokensPerSlot = 4096;
 
 uint64_t promptTokens(const generate_request &Request) {
@@ -55,6 +57,8 @@
                                                time_point Now) {
   if (State == engine_state::Failed)
     return {start_refusal::Failed, nullptr};
+  if (Request.Id.size() > MaxIdBytes || Request.Prompt.size() > MaxPromptBytes)
+    return {start_refusal::TooLarge, nullptr};
   if (ById.contains(Request.Id))
     return {start_refusal::DuplicateId, nullptr};
   if (Waiting.size() >= Options.MaxWaiting)
--- a/standins/batch_engine.h
+++ b/standins/batch_engine.h
@@ -34,7 +34,7 @@
   bool ChecksFence = false;
   /// Age of what load() tells.
   milliseconds LoadLag{0};
-  size_t MaxWaiting = 4096;
+  size_t MaxWaiting = 1024;
   prefix_cache_options Cache{};
 };
 
@@ -101,7 +101,14 @@
 };
 
 /// Why start() refused.
-enum class start_refusal { None, DuplicateId, Failed, Full, BadResume };
+enum class start_refusal {
+  None,
+  DuplicateId,
+  Failed,
+  Full,
+  BadResume,
+  TooLarge
+};
 
 /// Not thread-safe. step() takes O(slots) and at most O(waiting log waiting)
 /// for admissions.
--- a/standins/object_table.cpp
+++ b/standins/object_table.cpp
@@ -4,6 +4,13 @@
 
 namespace standins {
 
+namespace {
+
+/// Estimated memory of a key beside its bytes.
+constexpr size_t KeyOverheadBytes = 128;
+
+} // namespace
+
 std::optional<object> object_table::get(std::string_view Key) const {
   auto It = Entries.find(Key);
   if (It == Entries.end())
@@ -32,11 +39,13 @@
     return {write_status::TooLarge, Present};
   if (Present != IfVersion)
     return {write_status::Conflict, Present};
-  size_t Freed = It == Entries.end() ? 0 : It->second.Value.size();
-  if (TotalBytes - Freed + Value.size() > Options.MaxTotalBytes)
+  bool New = It == Entries.end();
+  size_t Added = Value.size() + (New ? Key.size() + KeyOverheadBytes : 0);
+  size_t Freed = New ? 0 : It->second.Value.size();
+  if (TotalBytes - Freed + Added > Options.MaxTotalBytes)
     return {write_status::TooLarge, Present};
-  TotalBytes = TotalBytes - Freed + Value.size();
-  if (It == Entries.end())
+  TotalBytes = TotalBytes - Freed + Added;
+  if (New)
     It = Entries.emplace(std::string(Key), entry{}).first;
   It->second = {++LastVersion, std::move(Value)};
   return {write_status::Ok, LastVersion};
@@ -48,7 +57,7 @@
     return {write_status::NotFound, 0};
   if (It->second.Version != IfVersion)
     return {write_status::Conflict, It->second.Version};
-  TotalBytes -= It->second.Value.size();
+  TotalBytes -= It->second.Value.size() + Key.size() + KeyOverheadBytes;
   Entries.erase(It);
   return {write_status::Ok, 0};
 }
--- a/standins/object_table.h
+++ b/standins/object_table.h
@@ -30,7 +30,7 @@
 
 struct object_table_options {
   size_t MaxValueBytes = 1'000'000;
-  /// Bounds the memory of the emulator over all values.
+  /// Bounds the memory of the emulator over all keys and values.
   size_t MaxTotalBytes = 512'000'000;
 };
 
--- a/standins/object_table_test.cpp
+++ b/standins/object_table_test.cpp
@@ -40,7 +40,7 @@
 
   // Guards against memory that grows with what clients write.
   void boundsValuesAndTotal() {
-    object_table Table({.MaxValueBytes = 10, .MaxTotalBytes = 15});
+    object_table Table({.MaxValueBytes = 10, .MaxTotalBytes = 15 + 2 * 129});
     CPPUNIT_ASSERT(Table.put("a", std::string(11, 'x'), 0).Status ==
                    write_status::TooLarge);
     uint64_t A = Table.put("a", std::string(10, 'x'), 0).Version;
@@ -48,8 +48,11 @@
                    write_status::TooLarge);
     CPPUNIT_ASSERT(Table.put("a", std::string(9, 'x'), A).Status ==
                    write_status::Ok);
-    CPPUNIT_ASSERT(Table.put("b", std::string(6, 'x'), 0).Status ==
-                   write_status::Ok);
+    write_result B = Table.put("b", std::string(6, 'x'), 0);
+    CPPUNIT_ASSERT(B.Status == write_status::Ok);
+    CPPUNIT_ASSERT(Table.put("c", "", 0).Status == write_status::TooLarge);
+    Table.remove("b", B.Version);
+    CPPUNIT_ASSERT(Table.put("c", "", 0).Status == write_status::Ok);
   }
 
   // Guards against a listing that includes keys beside the prefix.
--- a/standins/run_counts.h
+++ b/standins/run_counts.h
@@ -14,12 +14,14 @@
 /// Not thread-safe; each call takes O(log n).
 class run_counts {
 public:
-  /// Ids above MaxIds are counted in total() only, which bounds the memory.
+  /// Ids above MaxIds, or longer than MaxIdBytes, are counted in total() only,
+  /// which bounds the memory.
   explicit run_counts(size_t MaxIds = 1'000'000) : MaxIds(MaxIds) {}
 
   /// Returns the number of this run. Id is empty for a body without one.
   uint64_t add(const std::string &Id) {
-    if (!Id.empty() && (ById.size() < MaxIds || ById.contains(Id)))
+    if (!Id.empty() && Id.size() <= MaxIdBytes &&
+        (ById.size() < MaxIds || ById.contains(Id)))
       ++ById[Id];
     return ++Total;
   }
@@ -30,6 +32,8 @@
   }
 
 private:
+  static constexpr size_t MaxIdBytes = 256;
+
   size_t MaxIds;
   uint64_t Total = 0;
   std::map<std::string, uint64_t> ById;
--- a/standins/standin_engine.cpp
+++ b/standins/standin_engine.cpp
@@ -176,6 +176,8 @@
     case start_refusal::BadResume:
       return answer(Answer, 400,
                     {{"reason", "resume_text is not the start of the answer"}});
+    case start_refusal::TooLarge:
+      return answer(Answer, 413, {{"reason", "request_id or prompt too long"}});
     case start_refusal::Full:
       return answer(Answer, 503, {{"reason", "full"}});
     default:
