Acknowledge keyed answers like all others

Cause: the agent now keeps answers of keyed requests after the acknowledgement. Change: the relay acknowledges every complete answer.

--- a/entry/caller_relay.cpp
+++ b/entry/caller_relay.cpp
@@ -51,8 +51,6 @@
   time_point GiveUpAt;
   dispatch_id Id = 0;
   bool Ended = false;
-  /// The agent keeps the answer for repeats with the same idempotency key.
-  bool KeepAnswer = false;
   /// First event, which decided on the status.
   std::optional<relay_event> First;
   uint64_t Version = 0;
@@ -110,8 +108,7 @@
   }
 
   void acknowledge(const dispatch_result &Result) {
-    if (!KeepAnswer)
-      Dispatcher.acknowledge(Result.Address, Result.RequestId);
+    Dispatcher.acknowledge(Result.Address, Result.RequestId);
   }
 };
 
@@ -345,9 +342,7 @@
       Add(Name, Value);
   if (!Caller.ContentType.empty())
     Add("Content-Type", Caller.ContentType);
-  const bool Keyed = !Run.idempotency_key().empty();
   const auto Relay = startRelay(std::move(Call), true);
-  Relay->KeepAnswer = Keyed;
   streamPlain(Relay, Request.method == "HEAD", Response);
 }
 
