--- a/agent/agent_documents.cpp
+++ b/agent/agent_documents.cpp
@@ -29,14 +29,17 @@
                       Asset->Pool == Request.model().model();
     return Fits ? "" : "wrong_model";
   }
-  const std::string &Target = Request.plain().target();
-  const route_rule *Route =
-      Config->findRoute(std::string_view(Target).substr(0, Target.find('?')));
-  if (Route == nullptr)
-    return "no_route";
-  const bool Fits =
-      Asset->Kind == asset_kind::Plain && Asset->Pool == Route->Pool;
-  return Fits ? "" : "wrong_pool";
+  if (Asset->Kind != asset_kind::Plain)
+    return "wrong_pool";
+  const std::string &Prefix = Request.plain().route();
+  for (const route_rule &Route : Config->Routes)
+    if (Route.Prefix == Prefix)
+      return Route.Pool == Asset->Pool ? "" : "wrong_pool";
+  // Calls of a scoring service come from the entries, without a route.
+  for (const trainer_rule &Trainer : Config->Trainers)
+    if (Prefix == "/score" && Trainer.Scorer == Asset->Pool)
+      return "";
+  return "no_route";
 }
 
 std::set<std::string> agent_documents::parseLeaving(const std::string &Text) {
--- a/agent/agent_requests.cpp
+++ b/agent/agent_requests.cpp
@@ -112,10 +112,11 @@
     End.set_reason("bad_request");
     return sendEnd(*Stream, End);
   }
-  if (Request.agent_incarnation() != Options.Incarnation) {
-    End.set_reason("wrong_incarnation");
-    return sendEnd(*Stream, End);
-  }
+  if (Request.agent_incarnation() != Options.Incarnation)
+    // Not RUN_UNKNOWN: this process knows nothing of the runs of another.
+    return sendEnd(*Stream, refusal("wrong_incarnation",
+                                    "the run belongs to another process",
+                                    milliseconds(0)));
   Streams.attach(std::move(Stream), Request.request_id(), Request.offset(),
                  steady_clock::now());
 }
--- a/agent/answer_streams.h
+++ b/agent/answer_streams.h
@@ -32,7 +32,7 @@
   ~answer_streams();
 
   /// Makes the stream the reader of the run, from Offset on. Each reader gets
-  /// the head and all spans anew. Answers RUN_UNKNOWN or ANSWER_GONE when
+  /// the head anew. Answers RUN_UNKNOWN or ANSWER_GONE when
   /// there is no record.
   void attach(std::shared_ptr<server_stream> Stream, std::string_view Id,
               uint64_t Offset, time_point Now);
--- a/agent/run_executor_thread_test.cpp
+++ b/agent/run_executor_thread_test.cpp
@@ -1,22 +1,19 @@
 #include "agent/run_executor.h"
 
+#include "agent/test_http_server.h"
+
 #include <cppunit/extensions/HelperMacros.h>
-#include <httplib.h>
 
 #include <functional>
 #include <optional>
 
-// <httplib.h> includes a header of the resolver that defines this macro.
-#undef REFUSED
-
 namespace cardamom {
 
 namespace {
 /// An upstream whose calls last until they are released or cancelled, and a
 /// store of one object.
 struct executor_world {
-  httplib::Server Server;
-  std::thread ServerThread;
+  std::optional<test_http_server> Server;
   std::atomic<int> Calls{0};
   std::atomic<bool> Release{false};
   std::atomic<bool> StoreUp{true};
@@ -35,14 +32,13 @@
         std::this_thread::sleep_for(milliseconds(2));
       Response.set_content("{\"done\":true}\n", "text/plain");
     };
-    Server.Post(".*", Wait);
-    const int Port = Server.bind_to_any_port("127.0.0.1");
-    if (Listening)
-      ServerThread = std::thread([this] { Server.listen_after_bind(); });
-    else
-      Server.stop();
-    Driver.emplace(upstream_driver_options{
-        .Address = "127.0.0.1:" + std::to_string(Listening ? Port : 1)});
+    Server.emplace();
+    Server->Server.Post(".*", Wait);
+    Server->start();
+    const std::string Address = Server->address();
+    if (!Listening)
+      Server.reset();
+    Driver.emplace(upstream_driver_options{.Address = Address});
     Ledger.emplace(ledgerOptions());
     Executor.emplace(run_executor_options{
         .Table = &Table,
@@ -57,9 +53,6 @@
   ~executor_world() {
     Release = true;
     Executor->stop();
-    Server.stop();
-    if (ServerThread.joinable())
-      ServerThread.join();
   }
 
   key_ledger_options ledgerOptions() {
--- a/agent/run_table.cpp
+++ b/agent/run_table.cpp
@@ -11,6 +11,11 @@
   return XXH3_64bits(Id.data(), Id.size());
 }
 
+/// Entries acknowledge whole answers, and parts that another run goes on from.
+static bool awaitsAck(const wire::run_end &End) {
+  return End.code() == wire::COMPLETED || End.code() == wire::PREEMPTED;
+}
+
 run_table::run_table(run_table_options Options) : Options(std::move(Options)) {}
 
 run_table::record *run_table::find(std::string_view Id) {
@@ -150,10 +155,9 @@
     advance(*Record, wire::FINISHED);
     Unfinished.erase(std::string(Id));
     (Refused ? EndedRefused : Ended).emplace_back(Id);
-    if (!Refused) {
+    if (!Refused)
       WithAnswer.emplace_back(Id);
-      ++Held;
-    }
+    Held += awaitsAck(*Record->End) ? 1 : 0;
   }
   changed(Id);
   return true;
@@ -209,6 +213,8 @@
     return Chunk;
   }
   Chunk.State = run_chunk::state::Open;
+  if (!std::exchange(Cursor.Placed, true) && Cursor.Offset > 0)
+    Cursor.Tokens = Record->ReadTokens;
   if (!Cursor.HeadRead && Record->Head) {
     Chunk.Head = Record->Head;
     Cursor.HeadRead = true;
@@ -221,6 +227,7 @@
   Cursor.Offset += Chunk.Bytes.size();
   Record->ReadOffset = Cursor.Offset;
   fillSpans(*Record, Cursor, Chunk);
+  Record->ReadTokens = Cursor.Tokens;
   if (Record->End && Cursor.Offset == Length) {
     Chunk.State = run_chunk::state::Ended;
     Chunk.End = Record->End;
@@ -235,7 +242,7 @@
   // Assignment of an empty string would keep the capacity.
   std::string().swap(Record.Body);
   advance(Record, wire::FINISHED_ANSWER_GONE);
-  --Held;
+  Held -= awaitsAck(*Record.End) ? 1 : 0;
 }
 
 void run_table::acknowledge(std::string_view Id, time_point Now) {
--- a/agent/run_table.h
+++ b/agent/run_table.h
@@ -71,8 +71,11 @@
 struct run_cursor {
   uint64_t Offset = 0;
   bool HeadRead = false;
-  /// Tokens whose spans the reader has.
+  /// Tokens whose spans the reader has. A reader that goes on from an offset
+  /// takes over the count of the one before: spans on the way are progress
+  /// reports, and only those of the end are complete.
   uint64_t Tokens = 0;
+  bool Placed = false;
 };
 
 /// What is new for a reader.
@@ -149,7 +152,7 @@
 
   [[nodiscard]] size_t records() const;
   [[nodiscard]] size_t unfinished() const;
-  /// Ended runs whose answer is held and not acknowledged.
+  /// Ended runs whose answer or partial output is held and not acknowledged.
   [[nodiscard]] size_t unacknowledged() const;
   [[nodiscard]] size_t bytes() const;
 
@@ -165,6 +168,8 @@
     uint64_t BaseOffset = 0;
     /// What the present reader has taken.
     uint64_t ReadOffset = 0;
+    /// Tokens whose spans the last reader has taken.
+    uint64_t ReadTokens = 0;
     std::vector<wire::version_span> Spans;
     std::optional<wire::run_end> End;
     time_point EndedAt;
--- a/agent/run_table_memory_test.cpp
+++ b/agent/run_table_memory_test.cpp
@@ -16,7 +16,7 @@
   // address sanitizer mallinfo2() reports nothing and the test cannot fail.
   void acknowledgedAnswersAreFreed() {
     constexpr size_t Runs = 200;
-    const std::string Answer(64 * 1024, 'x');
+    const std::string Answer(size_t(64) * 1024, 'x');
     run_table Table({});
     const size_t Before = mallinfo2().uordblks;
     for (size_t I = 0; I < Runs; ++I) {
--- a/agent/upstream_driver.cpp
+++ b/agent/upstream_driver.cpp
@@ -173,7 +173,7 @@
   if (End.code() == wire::COMPLETED && !HasHead)
     Sink.OnHead(toHead(Response)); // HEAD and 204 have no body.
   if (GivenUp && End.code() == wire::UPSTREAM_FAILED)
-    End.set_reason("answer_not_taken");
+    End.set_reason("answer_too_large");
   return End;
 }
 
@@ -212,7 +212,7 @@
   case token_stream_result::GivenUp:
     if (Sent.code() == wire::CANCELLED)
       return Sent;
-    return makeEnd(wire::UPSTREAM_FAILED, "answer_not_taken");
+    return makeEnd(wire::UPSTREAM_FAILED, "answer_too_large");
   case token_stream_result::Open:
     break;
   }
--- a/agent/upstream_driver_thread_test.cpp
+++ b/agent/upstream_driver_thread_test.cpp
@@ -1,16 +1,13 @@
 #include "agent/upstream_driver.h"
 
+#include "agent/test_http_server.h"
 #include "inner/gen/messages.pb.h"
 
 #include <cppunit/extensions/HelperMacros.h>
-#include <httplib.h>
 
 #include <atomic>
 #include <thread>
 
-// <httplib.h> includes a header of the resolver that defines this macro.
-#undef REFUSED
-
 namespace cardamom {
 
 namespace {
@@ -32,45 +29,24 @@
   }
 };
 
-/// HTTP server on an ephemeral port.
-struct local_server {
-  httplib::Server Server;
-  int Port = 0;
-  std::thread Thread;
-
-  void start() {
-    Port = Server.bind_to_any_port("127.0.0.1");
-    Thread = std::thread([this] { Server.listen_after_bind(); });
-    while (!Server.is_running())
-      std::this_thread::sleep_for(milliseconds(1));
-  }
-  ~local_server() {
-    Server.stop();
-    if (Thread.joinable())
-      Thread.join();
-  }
-  [[nodiscard]] std::string address() const {
-    return "127.0.0.1:" + std::to_string(Port);
-  }
-  /// POST /generate answers the lines.
-  void generate(const std::string &Lines) {
-    Server.Post("/generate",
-                [Lines](const httplib::Request &, httplib::Response &Response) {
-                  Response.set_chunked_content_provider(
-                      "text/plain", [Lines](size_t, httplib::DataSink &Sink) {
-                        // One byte a chunk: lines arrive in pieces.
-                        for (const char &C : Lines)
-                          Sink.write(&C, 1);
-                        Sink.done();
-                        return true;
-                      });
-                });
-  }
-};
+/// POST /generate answers the lines.
+void generate(test_http_server &Server, const std::string &Lines) {
+  Server.Server.Post("/generate", [Lines](const httplib::Request &,
+                                          httplib::Response &Response) {
+    Response.set_chunked_content_provider(
+        "text/plain", [Lines](size_t, httplib::DataSink &Sink) {
+          // One byte a chunk: lines arrive in pieces.
+          for (const char &C : Lines)
+            Sink.write(&C, 1);
+          Sink.done();
+          return true;
+        });
+  });
+}
 
 wire::run_end runModel(const std::string &Lines, taken_answer &Answer) {
-  local_server Server;
-  Server.generate(Lines);
+  test_http_server Server;
+  generate(Server, Lines);
   Server.start();
   upstream_driver Driver({.Address = Server.address()});
   return Driver.runModel("id", {}, 0, Answer.sink());
@@ -90,7 +66,7 @@
 public:
   // Guards against answers or requests that change on the last hop.
   void passesPlainCallThrough() {
-    local_server Server;
+    test_http_server Server;
     Server.Server.Put(
         "/a", [](const httplib::Request &Request, httplib::Response &Response) {
           Response.status = 418;
@@ -129,7 +105,7 @@
     Call.set_method("GET");
     Call.set_target("/");
     {
-      local_server Server;
+      test_http_server Server;
       Server.Server.Get("/", [](auto &, httplib::Response &Response) {
         Response.set_content_provider(
             100, "text/x", [](size_t, size_t, httplib::DataSink &Sink) {
@@ -178,7 +154,7 @@
 
   // Guards against cancelled calls that hold their slot.
   void cancelEndsSilentCall() {
-    local_server Server;
+    test_http_server Server;
     std::atomic<bool> Reached{false};
     std::atomic<bool> Release{false};
     Server.Server.Get("/", [&](auto &, auto &) {
@@ -205,7 +181,7 @@
 
   // Guards against calls that hang on an engine that has gone silent.
   void silentUpstreamTimesOut() {
-    local_server Server;
+    test_http_server Server;
     Server.Server.Post("/generate", [](auto &, auto &) {
       std::this_thread::sleep_for(milliseconds(500));
     });
