--- a/agent/run_table.cpp
+++ b/agent/run_table.cpp
@@ -11,6 +11,11 @@
   return XXH3_64bits(Id.data(), Id.size());
 }
 
+/// Entries acknowledge whole answers, and parts that another run goes on from.
+static bool awaitsAck(const wire::run_end &End) {
+  return End.code() == wire::COMPLETED || End.code() == wire::PREEMPTED;
+}
+
 run_table::run_table(run_table_options Options) : Options(std::move(Options)) {}
 
 run_table::record *run_table::find(std::string_view Id) {
@@ -160,9 +165,8 @@
     advance(*Record, wire::FINISHED);
     Unfinished.erase(std::string(Id));
     (Refused ? EndedRefused : Ended).emplace_back(Id);
-    if (!Refused) {
+    if (!Refused)
       (Record->Spec.Keyed ? WithKeyedAnswer : WithAnswer).emplace_back(Id);
-    }
   }
   changed(Id);
   return true;
@@ -218,6 +222,8 @@
     return Chunk;
   }
   Chunk.State = run_chunk::state::Open;
+  if (!std::exchange(Cursor.Placed, true) && Cursor.Offset > 0)
+    Cursor.Tokens = Record->ReadTokens;
   if (!Cursor.HeadRead && Record->Head) {
     Chunk.Head = Record->Head;
     Cursor.HeadRead = true;
@@ -230,6 +236,7 @@
   Cursor.Offset += Chunk.Bytes.size();
   Record->ReadOffset = Cursor.Offset;
   fillSpans(*Record, Cursor, Chunk);
+  Record->ReadTokens = Cursor.Tokens;
   if (Record->End && Cursor.Offset == Length) {
     Chunk.State = run_chunk::state::Ended;
     Chunk.End = Record->End;
@@ -370,7 +377,7 @@
   const auto IsNeeded = [this](const std::string &Id) {
     const record *Record = find(Id);
     if (Record == nullptr || Record->State != wire::FINISHED ||
-        Record->Acknowledged)
+        Record->Acknowledged || !awaitsAck(*Record->End))
       return false;
     const uint64_t Length = Record->BaseOffset + Record->Body.size();
     return Record->Spec.Sample.empty() || Record->ReadOffset < Length;
--- a/agent/run_table.h
+++ b/agent/run_table.h
@@ -74,8 +74,11 @@
 struct run_cursor {
   uint64_t Offset = 0;
   bool HeadRead = false;
-  /// Tokens whose spans the reader has.
+  /// Tokens whose spans the reader has. A reader that goes on from an offset
+  /// takes over the count of the one before: spans on the way are progress
+  /// reports, and only those of the end are complete.
   uint64_t Tokens = 0;
+  bool Placed = false;
 };
 
 /// What is new for a reader.
@@ -173,6 +176,8 @@
     uint64_t BaseOffset = 0;
     /// What the present reader has taken.
     uint64_t ReadOffset = 0;
+    /// Tokens whose spans the last reader has taken.
+    uint64_t ReadTokens = 0;
     std::vector<wire::version_span> Spans;
     std::optional<wire::run_end> End;
     time_point EndedAt;
