--- a/entry/entry.cpp
+++ b/entry/entry.cpp
@@ -184,6 +184,9 @@
     const auto Held = Documents.get("weights/" + Trainer);
     return Held && Held->Version == Version && Held->Body == Body;
   };
+  Links.WeightsVersion = [this](const std::string &Trainer) {
+    return Documents.version("weights/" + Trainer);
+  };
   return Links;
 }
 
--- a/entry/step_owner.cpp
+++ b/entry/step_owner.cpp
@@ -310,6 +310,8 @@
 
 void step_owner::tick(time_point Now) {
   Lease.tick(Now);
+  if (Options.NewestWeights)
+    Rollout.observe(Options.NewestWeights(), Options.Views(rule().Model), Now);
   for (auto &[Id, Step] : Steps) {
     if (Step->AdoptUntil && Now >= *Step->AdoptUntil)
       Step->AdoptUntil.reset();
--- a/entry/step_owner.h
+++ b/entry/step_owner.h
@@ -20,6 +20,7 @@
 #include "entry/http_front.h"
 #include "entry/http_reply.h"
 #include "entry/lease_keeper.h"
+#include "entry/rollout_tracker.h"
 #include "entry/step_samples.h"
 #include "policy/straggler.h"
 
@@ -76,8 +77,11 @@
                        uint64_t MinVersion, const std::string &Except,
                        time_point Now)>
       PredictMs;
-  /// Slots of the connected upstreams of a pool.
-  std::function<unsigned(const std::string &Pool)> Slots;
+  /// Upstreams of a pool.
+  std::function<std::vector<upstream_view>(const std::string &Pool)> Views;
+  /// Newest weight version that the trainer has published; 0 = none. May be
+  /// empty.
+  std::function<uint64_t()> NewestWeights;
   std::function<std::string()> NewId;
   straggler_options Straggler;
 };
@@ -171,12 +175,19 @@
   [[nodiscard]] sample_progress progressOf(const step_sample &Sample,
                                            time_point Now) const;
   [[nodiscard]] trainer_rule rule() const;
+  [[nodiscard]] unsigned slotsOf(const std::string &Pool,
+                                 uint64_t MinVersion) const;
+  /// Lowest weight version that a new run may start with.
+  [[nodiscard]] uint64_t minVersion(const active_step &Step,
+                                    const trainer_rule &Rule,
+                                    time_point Now) const;
   active_step *findStep(uint64_t Step);
   step_sample *findRun(uint64_t Step, const sample_key &Key, dispatch_id Id);
 
   step_owner_options Options;
   lease_keeper Lease;
   straggler_finder Stragglers;
+  rollout_tracker Rollout;
   std::vector<waiting_call> WaitingCalls;
   std::optional<waiting_draw> WaitingDraw;
   std::map<uint64_t, std::unique_ptr<active_step>> Steps;
--- a/entry/step_owner_runs.cpp
+++ b/entry/step_owner_runs.cpp
@@ -35,12 +35,38 @@
   return Sample && Sample->Run == Id ? Sample : nullptr;
 }
 
+unsigned step_owner::slotsOf(const std::string &Pool,
+                             uint64_t MinVersion) const {
+  unsigned Slots = 0;
+  for (const upstream_view &View : Options.Views(Pool))
+    if (View.Connected && View.Ready && !View.Draining &&
+        View.ObservedVersion >= MinVersion)
+      Slots += View.Slots;
+  return Slots;
+}
+
+uint64_t step_owner::minVersion(const active_step &Step,
+                                const trainer_rule &Rule,
+                                time_point Now) const {
+  const uint64_t Useful =
+      lowestUsefulVersion(TrainerVersion, Rule.StalenessBound);
+  const auto Config = Options.Config();
+  if (!Config)
+    return Useful;
+  const hold_question Question{.IdleWeight = Config->IdleWeight,
+                               .StalenessWeight = Config->StalenessWeight,
+                               .Slots = slotsOf(Rule.Model, 0),
+                               .Samples = unsigned(Step.Samples.size())};
+  return std::max(Useful, Rollout.heldVersion(Question, Now));
+}
+
 void step_owner::dispatchWaiting(active_step &Step, time_point Now) {
   if (Step.AdoptUntil)
     return;
   const trainer_rule Rule = rule();
+  const uint64_t MinVersion = minVersion(Step, Rule, Now);
   const auto Limit = size_t(
-      std::max(double(MinRuns), RunsPerSlot * Options.Slots(Rule.Model)));
+      std::max(double(MinRuns), RunsPerSlot * slotsOf(Rule.Model, MinVersion)));
   size_t Running = 0;
   for (auto &[Id, Other] : Steps)
     Running += Other->Samples.count(sample_state::Running);
@@ -89,8 +115,7 @@
   Model.set_max_tokens(Group.MaxTokens);
   Model.set_resume_text(Sample.Text);
   Model.set_resume_tokens(Tokens);
-  Model.set_min_version(
-      lowestUsefulVersion(TrainerVersion, Rule.StalenessBound));
+  Model.set_min_version(minVersion(Step, Rule, Now));
   return Call;
 }
 
@@ -132,6 +157,8 @@
                                                   rule().StalenessBound);
   switch (Effect) {
   case run_effect::Finished:
+    Rollout.onSampleTime(
+        std::chrono::duration_cast<milliseconds>(Now - Sample->RunStarted));
     if (!rule().Scorer.empty())
       startScore(Step, *Sample, Now);
     else
--- a/entry/step_samples.h
+++ b/entry/step_samples.h
@@ -110,6 +110,7 @@
   [[nodiscard]] const step_submission &submission() const { return Submission; }
   [[nodiscard]] bool sameAs(const step_submission &Other) const;
   [[nodiscard]] std::vector<step_sample> &samples() { return Samples; }
+  [[nodiscard]] size_t size() const { return Samples.size(); }
   /// Null when the step has no such sample.
   step_sample *find(const sample_key &Key);
   [[nodiscard]] size_t count(sample_state State) const;
--- a/entry/step_service.cpp
+++ b/entry/step_service.cpp
@@ -199,12 +199,11 @@
                            time_point Now) {
     return Options.Dispatcher->predictMs(Pool, Work, MinVersion, Except, Now);
   };
-  Owner.Slots = [this](const std::string &Pool) {
-    unsigned Slots = 0;
-    for (const upstream_view &View : Options.Directory->views(Pool))
-      if (View.Connected && View.Ready && !View.Draining)
-        Slots += View.Slots;
-    return Slots;
+  Owner.Views = [this](const std::string &Pool) {
+    return Options.Directory->views(Pool);
+  };
+  Owner.NewestWeights = [this, Trainer] {
+    return Options.WeightsVersion(Trainer);
   };
   Owner.NewId = randomId;
   return Owner;
--- a/entry/step_service.h
+++ b/entry/step_service.h
@@ -54,6 +54,8 @@
   std::function<bool(const std::string &Trainer, uint64_t Version,
                      const std::string &Body)>
       HoldsWeights;
+  /// Version of document "weights/{trainer}"; 0 = none.
+  std::function<uint64_t(const std::string &Trainer)> WeightsVersion;
 };
 
 class step_service {
--- a/entry/step_simulation.h
+++ b/entry/step_simulation.h
@@ -153,7 +153,10 @@
       });
     };
     O.PredictMs = [](auto &&...) { return 50.0; };
-    O.Slots = [](const std::string &) { return 4U; };
+    O.Views = [](const std::string &) {
+      return std::vector<upstream_view>{
+          {.Name = "upstream", .Connected = true, .Slots = 4}};
+    };
     O.NewId = [this] { return "r" + std::to_string(++LastId); };
     O.Straggler.MinElapsed = milliseconds(300);
     O.Straggler.MinRemaining = milliseconds(300);
