--- a/entry/dispatcher_events.cpp
+++ b/entry/dispatcher_events.cpp
@@ -271,6 +271,10 @@
 }
 
 void dispatcher::attemptEnded(request &R, run_outcome Outcome, time_point Now) {
+  // Whatever ended the wait for the holder's answer, its run may exist, also at
+  // another agent.
+  if (R.HolderAttached && Outcome.Kind != outcome_kind::Completed)
+    Outcome.Kind = outcome_kind::KeyClaimed;
   if (R.Stream != 0 && Outcome.Kind == outcome_kind::DeadlinePassed)
     Options.CancelStream(R.Stream);
   // Events that the present stream still has queued no longer count.
--- a/entry/http_checks.h
+++ b/entry/http_checks.h
@@ -10,6 +10,7 @@
 #include <nlohmann/json_fwd.hpp>
 #include <string>
 #include <string_view>
+#include <tuple>
 #include <vector>
 
 namespace cardamom {
@@ -41,7 +42,10 @@
 struct sample_key {
   uint64_t Group = 0;
   uint32_t Index = 0;
-  auto operator<=>(const sample_key &) const = default;
+  bool operator==(const sample_key &) const = default;
+  bool operator<(const sample_key &Other) const {
+    return std::tie(Group, Index) < std::tie(Other.Group, Other.Index);
+  }
 };
 
 struct draw_request {
