--- a/bench/version_hold_bench.cpp
+++ b/bench/version_hold_bench.cpp
@@ -155,7 +155,7 @@
       .IdleWeight = W.Idle,
       .StalenessWeight = W.Staleness,
       .PublishInterval = milliseconds(long(S.TrainMs)),
-      .RolloutTime = milliseconds(long(S.RolloutMs)),
+      .LoadTime = milliseconds(long(S.RolloutMs / 2)),
       .SampleTime = milliseconds(long(S.MeanTokens * MeanMsPerToken)),
       .Slots = S.Upstreams * S.Slots,
       .Samples = S.Samples};
--- a/entry/rollout_tracker.cpp
+++ b/entry/rollout_tracker.cpp
@@ -23,15 +23,25 @@
     Newest = Version;
     PublishedAt = Now;
     AllLoaded = false;
+    Loads.clear();
   }
   if (AllLoaded)
     return;
-  AllLoaded =
-      std::all_of(Views.begin(), Views.end(), [&](const upstream_view &View) {
-        return !View.Connected || View.ObservedVersion >= Newest;
-      });
-  if (AllLoaded)
-    Rollout = between(PublishedAt, Now);
+  AllLoaded = true;
+  for (const upstream_view &View : Views) {
+    if (!View.Connected)
+      continue;
+    if (View.ObservedVersion >= Newest)
+      Loads.emplace(View.Name, between(PublishedAt, Now));
+    else
+      AllLoaded = false;
+  }
+  if (!AllLoaded || Loads.empty())
+    return;
+  milliseconds Sum{0};
+  for (const auto &[Name, Load] : Loads)
+    Sum += Load;
+  LoadTime = Sum / int64_t(Loads.size());
 }
 
 void rollout_tracker::onSampleTime(milliseconds Elapsed) {
@@ -47,7 +57,7 @@
       shouldHoldForVersion({.IdleWeight = Question.IdleWeight,
                             .StalenessWeight = Question.StalenessWeight,
                             .PublishInterval = Interval,
-                            .RolloutTime = Rollout,
+                            .LoadTime = LoadTime,
                             .SampleTime = milliseconds(int64_t(SampleMs)),
                             .Slots = Question.Slots,
                             .Samples = Question.Samples});
--- a/entry/rollout_tracker.h
+++ b/entry/rollout_tracker.h
@@ -16,7 +16,9 @@
 #include "policy/router.h"
 
 #include <cstdint>
+#include <map>
 #include <span>
+#include <string>
 
 namespace cardamom {
 
@@ -42,16 +44,18 @@
   [[nodiscard]] uint64_t heldVersion(const hold_question &Question,
                                      time_point Now) const;
   [[nodiscard]] milliseconds publishInterval() const { return Interval; }
-  [[nodiscard]] milliseconds rolloutTime() const { return Rollout; }
+  /// Mean over the replicas of the last complete roll-out.
+  [[nodiscard]] milliseconds loadTime() const { return LoadTime; }
 
 private:
   uint64_t Newest = 0;
   time_point PublishedAt{};
   bool AllLoaded = true;
-  /// Between the last two publications, and until the last replica of the last
-  /// complete roll-out had loaded; zero = unknown.
+  /// Load times of the present roll-out by replica.
+  std::map<std::string, milliseconds, std::less<>> Loads;
+  /// Between the last two publications; zero = unknown, as below.
   milliseconds Interval{0};
-  milliseconds Rollout{0};
+  milliseconds LoadTime{0};
   /// Moving average.
   double SampleMs = 0;
 };
--- a/entry/rollout_tracker_test.cpp
+++ b/entry/rollout_tracker_test.cpp
@@ -36,7 +36,7 @@
     Views[0].ObservedVersion = Views[1].ObservedVersion = 2;
     observe(2, 70);
     CPPUNIT_ASSERT(Tracker.publishInterval() == milliseconds(60000));
-    CPPUNIT_ASSERT(Tracker.rolloutTime() == milliseconds(10000));
+    CPPUNIT_ASSERT(Tracker.loadTime() == milliseconds(10000));
   }
 
   // Guards against a hold that does not end, which would stop a trainer whose
--- a/entry/step_owner.cpp
+++ b/entry/step_owner.cpp
@@ -126,6 +126,8 @@
                                  time_point At) { adopt(Id, Runs, At); });
     }
     Lease.setStep(Call.Step, Now);
+    // A trainer publishes and submits in quick succession.
+    observeRollout(Now);
     dispatchWaiting(*Step, Now);
   }
   http_reply Reply;
@@ -136,6 +138,11 @@
   return Reply;
 }
 
+void step_owner::observeRollout(time_point Now) {
+  if (Options.NewestWeights)
+    Rollout.observe(Options.NewestWeights(), Options.Views(rule().Model), Now);
+}
+
 void step_owner::makeRoom(uint64_t NewStep) {
   // A trainer that goes on has everything of the earlier steps that are
   // finished, even if no draw has said so.
@@ -310,8 +317,7 @@
 
 void step_owner::tick(time_point Now) {
   Lease.tick(Now);
-  if (Options.NewestWeights)
-    Rollout.observe(Options.NewestWeights(), Options.Views(rule().Model), Now);
+  observeRollout(Now);
   for (auto &[Id, Step] : Steps) {
     if (Step->AdoptUntil && Now >= *Step->AdoptUntil)
       Step->AdoptUntil.reset();
--- a/entry/step_owner.h
+++ b/entry/step_owner.h
@@ -146,6 +146,7 @@
   std::string drawBody(active_step &Step, const draw_request &Draw,
                        const std::vector<step_sample *> &Given, time_point Now);
 
+  void observeRollout(time_point Now);
   void makeRoom(uint64_t NewStep);
   void dropStep(active_step &Step, bool CancelRuns);
   void dropAll();
--- a/policy/version_hold.h
+++ b/policy/version_hold.h
@@ -25,8 +25,8 @@
   double StalenessWeight = 0.5;
   /// Observed time between published versions; zero = unknown.
   milliseconds PublishInterval{0};
-  /// Observed time until the last replica has loaded a version.
-  milliseconds RolloutTime{0};
+  /// Observed time until a replica has loaded a version, mean over replicas.
+  milliseconds LoadTime{0};
   /// Mean time that one sample takes.
   milliseconds SampleTime{0};
   /// Samples that the pool generates at once.
--- a/policy/version_hold_test.cpp
+++ b/policy/version_hold_test.cpp
@@ -14,7 +14,7 @@
     return {.IdleWeight = Idle,
             .StalenessWeight = Staleness,
             .PublishInterval = milliseconds(10000),
-            .RolloutTime = milliseconds(20000),
+            .LoadTime = milliseconds(10000),
             .SampleTime = milliseconds(10000),
             .Slots = 36,
             .Samples = 64};
