Fix a use after free when the VM list is parsed

Cause: the loop over the VMs iterated over a member of a temporary JSON object; the thread sanitizer reported the heap use after free. Change: the object is kept; copies that the linter names are gone; the entry test initialises cpp-httplib's function-local statics before it starts threads, because the uninstrumented library hides their guards from the sanitizer. Measured: entry_thread_test passes under the thread sanitizer without a report (before: one use after free, two reports inside the library).

--- a/entry/entry.cpp
+++ b/entry/entry.cpp
@@ -119,7 +119,7 @@
                            std::string_view Path, std::string_view Message) {
     step_service *Service = ServingSteps.load();
     if (Service && (Path == "/draw" || Path == "/submit"))
-      serveForwarded(*Service, std::move(Stream), Message);
+      serveForwarded(*Service, Stream, Message);
     else
       Stream->finish();
   };
--- a/entry/entry_thread_test.cpp
+++ b/entry/entry_thread_test.cpp
@@ -25,7 +25,21 @@
   std::unique_ptr<entry> Entry;
   std::unique_ptr<httplib::Client> Client;
 
+  // cpp-httplib is not built with the thread sanitizer, which therefore does
+  // not see how its function-local statics are guarded. One whole request
+  // initialises them, and the store's mutex orders that before the threads that
+  // are started later.
+  void initialiseHttpLibrary() {
+    {
+      httplib::Client First(Store.address());
+      CPPUNIT_ASSERT(First.Get("/v1/objects/absent"));
+    }
+    std::this_thread::sleep_for(milliseconds(50));
+    CPPUNIT_ASSERT_EQUAL(std::string(), Store.value("absent"));
+  }
+
   void startEntry() {
+    initialiseHttpLibrary();
     entry_options Options;
     Options.Name = "entry-1";
     Options.FailureDomain = "fd-1";
--- a/entry/entry_threads.cpp
+++ b/entry/entry_threads.cpp
@@ -20,7 +20,8 @@
 
 static std::set<std::string> parseLeaving(std::string_view Json) {
   std::set<std::string> Leaving;
-  for (const auto &Vm : nlohmann::json::parse(Json).at("vms"))
+  const nlohmann::json Object = nlohmann::json::parse(Json);
+  for (const auto &Vm : Object.at("vms"))
     if (Vm.at("state").get<std::string>() == "leaving")
       Leaving.insert(Vm.at("vm").get<std::string>());
   return Leaving;
--- a/entry/forwarding.cpp
+++ b/entry/forwarding.cpp
@@ -112,7 +112,8 @@
   Stream.finish();
 }
 
-void serveForwarded(step_service &Steps, std::shared_ptr<server_stream> Stream,
+void serveForwarded(step_service &Steps,
+                    const std::shared_ptr<server_stream> &Stream,
                     std::string_view Message) {
   wire::forwarded_call Forwarded;
   std::optional<trainer_call> Call;
@@ -129,8 +130,9 @@
     return;
   }
   Call->Body = Forwarded.body();
-  Steps.forwarded(std::move(*Call),
-                  [Stream](http_reply Reply) { sendReply(*Stream, Reply); });
+  Steps.forwarded(std::move(*Call), [Stream](const http_reply &Reply) {
+    sendReply(*Stream, Reply);
+  });
 }
 
 } // namespace cardamom
--- a/entry/forwarding.h
+++ b/entry/forwarding.h
@@ -24,7 +24,8 @@
                        const trainer_call &Call);
 
 /// Serves "/draw" and "/submit" of another entry. Does not block.
-void serveForwarded(step_service &Steps, std::shared_ptr<server_stream> Stream,
+void serveForwarded(step_service &Steps,
+                    const std::shared_ptr<server_stream> &Stream,
                     std::string_view Message);
 
 } // namespace cardamom
--- a/entry/step_service.cpp
+++ b/entry/step_service.cpp
@@ -179,9 +179,9 @@
   Owner.Lease = leaseOptions(Trainer);
   Owner.Config = [this] { return Options.Directory->config(); };
   Owner.Dispatch = [this](dispatch_call Call,
-                          std::shared_ptr<run_progress> Progress,
+                          const std::shared_ptr<run_progress> &Progress,
                           step_owner_options::run_callback OnEnd) {
-    return dispatch(std::move(Call), std::move(Progress), std::move(OnEnd));
+    return dispatch(std::move(Call), Progress, std::move(OnEnd));
   };
   Owner.Cancel = [this](dispatch_id Id) { Options.Dispatcher->cancel(Id); };
   Owner.Abandon = [this](dispatch_id Id) { Options.Dispatcher->abandon(Id); };
@@ -210,9 +210,10 @@
   return Owner;
 }
 
-dispatch_id step_service::dispatch(dispatch_call Call,
-                                   std::shared_ptr<run_progress> Progress,
-                                   step_owner_options::run_callback OnEnd) {
+dispatch_id
+step_service::dispatch(dispatch_call Call,
+                       const std::shared_ptr<run_progress> &Progress,
+                       step_owner_options::run_callback OnEnd) {
   const auto Text = std::make_shared<std::string>();
   dispatch_sink Sink;
   Sink.OnSent = [Text, Progress](std::string_view Upstream) {
--- a/entry/step_service.h
+++ b/entry/step_service.h
@@ -92,7 +92,7 @@
   http_reply weights(const trainer_call &Call);
   step_answer local(const trainer_call &Call);
   dispatch_id dispatch(dispatch_call Call,
-                       std::shared_ptr<run_progress> Progress,
+                       const std::shared_ptr<run_progress> &Progress,
                        step_owner_options::run_callback OnEnd);
   void findRuns(const std::string &Pool, const std::string &Prefix,
                 step_owner_options::find_callback OnFound);
