--- a/entry/entry_state.h
+++ b/entry/entry_state.h
@@ -50,7 +50,7 @@
   // Documents.
   void validate(const versioned_document &Document) const;
   void onInstall(const versioned_document &Document);
-  void onConfiguration(std::shared_ptr<const configuration> Config);
+  void onConfiguration(const std::shared_ptr<const configuration> &Config);
   void handleControl(const wire::control_frame &Frame,
                      std::vector<wire::control_frame> &Replies);
   void installFromStore(const char *Name, const store_result &Result);
--- a/entry/entry_threads.cpp
+++ b/entry/entry_threads.cpp
@@ -49,7 +49,8 @@
   StopChanged.notify_all();
 }
 
-void entry::state::onConfiguration(std::shared_ptr<const configuration> Next) {
+void entry::state::onConfiguration(
+    const std::shared_ptr<const configuration> &Next) {
   if (!Config.install(Next))
     return;
   Directory.setConfiguration(Next);
--- a/entry/step_service.cpp
+++ b/entry/step_service.cpp
@@ -153,7 +153,8 @@
   Lease.Lease = Options.Lease;
   Lease.Renew = Options.Lease * 3 / 10;
   using answer = lease_keeper_options::answer;
-  const auto Call = [this](std::function<store_result()> Work, answer Answer) {
+  const auto Call = [this](std::function<store_result()> Work,
+                           const answer &Answer) {
     const bool Accepted = StoreRing.tryPush([this, Work = std::move(Work),
                                              Answer](/*store thread*/) {
       post([Result = Work(), Answer](time_point Now) { Answer(Result, Now); });
@@ -162,7 +163,7 @@
       post([Answer](time_point Now) { Answer({}, Now); });
   };
   Lease.Get = [this, Call](const std::string &Key, answer Answer) {
-    Call([this, Key] { return Options.Store->get(Key); }, std::move(Answer));
+    Call([this, Key] { return Options.Store->get(Key); }, Answer);
   };
   Lease.Put = [this, Call](const std::string &Key, const std::string &Value,
                            uint64_t IfVersion, answer Answer) {
--- a/entry/step_simulation.h
+++ b/entry/step_simulation.h
@@ -134,7 +134,8 @@
           I, [=, this] { return put(Key, Value, IfVersion); }, Answer);
     };
     O.Config = [this] { return Configuration; };
-    O.Dispatch = [this, I](dispatch_call Call, auto Progress, auto OnEnd) {
+    O.Dispatch = [this, I](const dispatch_call &Call, auto Progress,
+                           auto OnEnd) {
       return dispatch(I, Call, Progress, OnEnd);
     };
     O.Cancel = [this](dispatch_id Id) { Runs.at(Id).Cancelled = true; };
@@ -179,7 +180,7 @@
   }
 
   template <typename answer>
-  void storeCall(unsigned Entry, std::function<store_result()> Work,
+  void storeCall(unsigned Entry, const std::function<store_result()> &Work,
                  answer Answer) {
     // The call takes effect when it reaches the store, even if its caller has
     // crashed or is paused by then.
