--- a/entry/step_service.cpp
+++ b/entry/step_service.cpp
@@ -162,14 +162,14 @@
     if (!Accepted)
       post([Answer](time_point Now) { Answer({}, Now); });
   };
-  Lease.Get = [this, Call](const std::string &Key, answer Answer) {
+  Lease.Get = [this, Call](const std::string &Key, const answer &Answer) {
     Call([this, Key] { return Options.Store->get(Key); }, Answer);
   };
   Lease.Put = [this, Call](const std::string &Key, const std::string &Value,
-                           uint64_t IfVersion, answer Answer) {
+                           uint64_t IfVersion, const answer &Answer) {
     Call([this, Key, Value,
           IfVersion] { return Options.Store->put(Key, Value, IfVersion); },
-         std::move(Answer));
+         Answer);
   };
   return Lease;
 }
