--- a/entry/step_service.cpp
+++ b/entry/step_service.cpp
@@ -153,7 +153,8 @@
   Lease.Lease = Options.Lease;
   Lease.Renew = Options.Lease * 3 / 10;
   using answer = lease_keeper_options::answer;
-  const auto Call = [this](std::function<store_result()> Work, answer Answer) {
+  const auto Call = [this](std::function<store_result()> Work,
+                           const answer &Answer) {
     const bool Accepted = StoreRing.tryPush([this, Work = std::move(Work),
                                              Answer](/*store thread*/) {
       post([Result = Work(), Answer](time_point Now) { Answer(Result, Now); });
@@ -161,14 +162,14 @@
     if (!Accepted)
       post([Answer](time_point Now) { Answer({}, Now); });
   };
-  Lease.Get = [this, Call](const std::string &Key, answer Answer) {
-    Call([this, Key] { return Options.Store->get(Key); }, std::move(Answer));
+  Lease.Get = [this, Call](const std::string &Key, const answer &Answer) {
+    Call([this, Key] { return Options.Store->get(Key); }, Answer);
   };
   Lease.Put = [this, Call](const std::string &Key, const std::string &Value,
-                           uint64_t IfVersion, answer Answer) {
+                           uint64_t IfVersion, const answer &Answer) {
     Call([this, Key, Value,
           IfVersion] { return Options.Store->put(Key, Value, IfVersion); },
-         std::move(Answer));
+         Answer);
   };
   return Lease;
 }
@@ -179,9 +180,9 @@
   Owner.Lease = leaseOptions(Trainer);
   Owner.Config = [this] { return Options.Directory->config(); };
   Owner.Dispatch = [this](dispatch_call Call,
-                          std::shared_ptr<run_progress> Progress,
+                          const std::shared_ptr<run_progress> &Progress,
                           step_owner_options::run_callback OnEnd) {
-    return dispatch(std::move(Call), std::move(Progress), std::move(OnEnd));
+    return dispatch(std::move(Call), Progress, std::move(OnEnd));
   };
   Owner.Cancel = [this](dispatch_id Id) { Options.Dispatcher->cancel(Id); };
   Owner.Abandon = [this](dispatch_id Id) { Options.Dispatcher->abandon(Id); };
@@ -209,9 +210,10 @@
   return Owner;
 }
 
-dispatch_id step_service::dispatch(dispatch_call Call,
-                                   std::shared_ptr<run_progress> Progress,
-                                   step_owner_options::run_callback OnEnd) {
+dispatch_id
+step_service::dispatch(dispatch_call Call,
+                       const std::shared_ptr<run_progress> &Progress,
+                       step_owner_options::run_callback OnEnd) {
   const auto Text = std::make_shared<std::string>();
   dispatch_sink Sink;
   Sink.OnSent = [Text, Progress](std::string_view Upstream) {
