Test label source, drain and attach offset at the agent

Cause: three mutations passed all checks. Labels taken from the engine's status: the trainer emulator cannot know the version of a token. An agent that ignores drain: DrainTest passes, as entries avoid the upstream by themselves. An attach that starts at 0: the entry drops what it has relayed, so ConnectionTest passes.

Change: run_executor_thread_test compares spans with the engine's stream while the status says another version. agent_thread_test sends a run to a draining agent, and attaches at an offset.

--- /dev/null
+++ b/agent/agent_thread_test.cpp
@@ -0,0 +1,92 @@
+#include "agent/agent.h"
+#include "agent/answer_streams.h"
+#include "inner/gen/messages.pb.h"
+#include "inner/server_stream.h"
+#include "inner/test_peers.h"
+
+#include <cppunit/extensions/HelperMacros.h>
+
+namespace cardamom {
+
+namespace {
+/// Keeps what is sent.
+class kept_stream final : public server_stream {
+public:
+  bool send(std::string_view Message) override {
+    CPPUNIT_ASSERT(Events.emplace_back().ParseFromArray(Message.data(),
+                                                        int(Message.size())));
+    return true;
+  }
+  void finish() override {}
+  [[nodiscard]] size_t pendingBytes() const override { return 0; }
+  [[nodiscard]] bool closed() const override { return false; }
+  void onWritable(std::function<void()>) override {}
+  void onClose(std::function<void()>) override {}
+  [[nodiscard]] const peer_identity &peer() const override { return Peer; }
+  [[nodiscard]] uint64_t epoch() const override { return 1; }
+
+  std::vector<wire::run_event> Events;
+  peer_identity Peer;
+};
+} // namespace
+
+class agent_thread_test : public CppUnit::TestFixture {
+  CPPUNIT_TEST_SUITE(agent_thread_test);
+  CPPUNIT_TEST(drainingAgentRefusesOutdatedEntries);
+  CPPUNIT_TEST(attachStartsAtOffset);
+  CPPUNIT_TEST_SUITE_END();
+
+public:
+  // Guards against new work on a leaving upstream from an entry that does not
+  // know of the drain yet: such entries do not avoid it by themselves.
+  void drainingAgentRefusesOutdatedEntries() {
+    agent Agent({.Name = "a",
+                 .Incarnation = 5,
+                 .UpstreamAddress = "127.0.0.1:1",
+                 .StoreAddress = "127.0.0.1:1"});
+    CPPUNIT_ASSERT(Agent.start());
+    inner_client Client({.Self = testIdentity("entry")});
+    Client.start();
+    const std::string Address = addressOf(Agent.port());
+    Client.addPeer(Address);
+    CPPUNIT_ASSERT(waitUp(Client, Address));
+    Agent.drain();
+    wire::run_request Request;
+    Request.set_request_id("r");
+    Request.set_agent_incarnation(5);
+    Request.mutable_plain()->set_method("POST");
+    stream_record Record;
+    Client.open(Address, "/run", Request.SerializeAsString(), Record.hooks());
+    CPPUNIT_ASSERT(Record.wait() == stream_end::Finished);
+    wire::run_event Event;
+    CPPUNIT_ASSERT(Event.ParseFromString(Record.messages().back()));
+    CPPUNIT_ASSERT(Event.end().code() == wire::REFUSED);
+    CPPUNIT_ASSERT_EQUAL(std::string("draining"), Event.end().reason());
+    Client.stop();
+  }
+
+  // Guards against an attach that sends the whole answer again. The entry
+  // drops what it has relayed, so that callers notice only the delay.
+  void attachStartsAtOffset() {
+    run_table Table({});
+    answer_streams Streams(Table);
+    const time_point Now = steady_clock::now();
+    Table.insert({.RequestId = "r", .Idempotent = true}, Now);
+    CPPUNIT_ASSERT(Table.start("r"));
+    Table.setHead("r", {});
+    CPPUNIT_ASSERT(Table.append("r", "abcdef") == append_result::Ok);
+    const auto Stream = std::make_shared<kept_stream>();
+    Streams.attach(Stream, "r", 4, Now);
+    std::string Bytes;
+    for (const wire::run_event &Event : Stream->Events)
+      if (Event.has_data()) {
+        CPPUNIT_ASSERT_EQUAL(uint64_t(4 + Bytes.size()), Event.data().offset());
+        Bytes += Event.data().bytes();
+      }
+    CPPUNIT_ASSERT_EQUAL(std::string("ef"), Bytes);
+  }
+};
+
+CPPUNIT_TEST_SUITE_NAMED_REGISTRATION(agent_thread_test, "agent_thread_test");
+
+} // namespace cardamom
--- a/agent/run_executor_thread_test.cpp
+++ b/agent/run_executor_thread_test.cpp
@@ -22,6 +22,8 @@
   std::atomic<bool> StoreUp{true};
   std::atomic<int> Puts{0};
   std::atomic<bool> EngineReady{true};
+  uint64_t ObservedVersion = 0;
+  std::string Answer = "{\"done\":true}\n";
   run_table Table{{}};
   std::optional<upstream_driver> Driver;
   std::optional<key_ledger> Ledger;
@@ -33,7 +35,7 @@
       ++Calls;
       while (!Release)
         std::this_thread::sleep_for(milliseconds(2));
-      Response.set_content("{\"done\":true}\n", "text/plain");
+      Response.set_content(Answer, "text/plain");
     };
     Server.Post(".*", Wait);
     const int Port = Server.bind_to_any_port("127.0.0.1");
@@ -50,7 +52,9 @@
         .Ledger = &*Ledger,
         .Admission = {.Slots = Slots, .QueueBounds = {2, 2, 2}},
         .Observed = [this] {
-          return observed_engine{.Ready = EngineReady, .Known = true};
+          observed_engine Engine{.Ready = EngineReady, .Known = true};
+          Engine.Status.Version = ObservedVersion;
+          return Engine;
         }});
     Executor->start();
   }
@@ -121,6 +125,7 @@
   CPPUNIT_TEST(keyedCallNeedsStore);
   CPPUNIT_TEST(givesClaimBackWhenUnreachable);
   CPPUNIT_TEST(refusesWhileEngineIsUnknown);
+  CPPUNIT_TEST(labelsComeFromTheStream);
   CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -211,6 +216,31 @@
     CPPUNIT_ASSERT_EQUAL(std::string("version_too_old"),
                          World.waitEnd("b").reason());
   }
+
+  // Guards against spans that name the version of the engine's status or of an
+  // order instead of the one that produced the token.
+  void labelsComeFromTheStream() {
+    executor_world World(1);
+    World.ObservedVersion = 9;
+    World.Answer = "{\"token\":\"a\",\"version\":7}\n"
+                   "{\"token\":\"b\",\"version\":8}\n{\"done\":true}\n";
+    World.Release = true;
+    World.submit("a", [](wire::run_request &Request) {
+      Request.mutable_model()->set_model("m");
+    });
+    CPPUNIT_ASSERT_EQUAL(int(wire::COMPLETED), int(World.waitEnd("a").code()));
+    const auto Reader = World.Table.attach("a", steady_clock::now());
+    run_cursor Cursor;
+    std::vector<uint64_t> Versions;
+    for (auto State = run_chunk::state::Open;
+         State == run_chunk::state::Open;) {
+      const run_chunk Chunk = World.Table.read("a", *Reader, Cursor, 1024);
+      for (const wire::version_span &Span : Chunk.Spans)
+        Versions.insert(Versions.end(), Span.tokens(), Span.version());
+      State = Chunk.State;
+    }
+    CPPUNIT_ASSERT((Versions == std::vector<uint64_t>{7, 8}));
+  }
 };
 
 CPPUNIT_TEST_SUITE_NAMED_REGISTRATION(run_executor_thread_test,
