Test that an agent refuses new work when a rule retires its upstream

Cause: a mutation that ignores "retiring" at the agent passes DrainTest and the first form of agent_thread_test, which drains by drain() only.

Change: the test also sends a configuration that retires the upstream.

--- a/agent/agent_thread_test.cpp
+++ b/agent/agent_thread_test.cpp
@@ -1,5 +1,6 @@
 #include "agent/agent.h"
 #include "agent/answer_streams.h"
+#include "config/configuration_document.h"
 #include "inner/gen/messages.pb.h"
 #include "inner/server_stream.h"
 #include "inner/test_peers.h"
@@ -36,33 +37,58 @@
   CPPUNIT_TEST(attachStartsAtOffset);
   CPPUNIT_TEST_SUITE_END();
 
+  static wire::control_frame retiringConfiguration() {
+    wire::control_frame Frame;
+    wire::document &Document = *Frame.mutable_document();
+    Document.set_name("config");
+    Document.set_version(1);
+    Document.set_body(formatDocument(
+        {.EditId = "e",
+         .Author = "test",
+         .Inventory =
+             "name,kind,pool,vm,region,failure_domain,inner_address,address,"
+             "concurrency\n"
+             "e,entry,,vm-e,r1,fd-1,127.0.0.1:3,127.0.0.1:4,1\n"
+             "a,plain,counter,vm-a,r1,fd-1,127.0.0.1:2,127.0.0.1:1,1\n",
+         .Rules = R"({"routes": [{"prefix": "/counter", "pool": "counter"}],
+                      "upstreams": [{"name": "a", "retiring": true}]})"}));
+    return Frame;
+  }
+
 public:
   // Guards against new work on a leaving upstream from an entry that does not
   // know of the drain yet: such entries do not avoid it by themselves.
   void drainingAgentRefusesOutdatedEntries() {
-    agent Agent({.Name = "a",
-                 .Incarnation = 5,
-                 .UpstreamAddress = "127.0.0.1:1",
-                 .StoreAddress = "127.0.0.1:1"});
-    CPPUNIT_ASSERT(Agent.start());
-    inner_client Client({.Self = testIdentity("entry")});
-    Client.start();
-    const std::string Address = addressOf(Agent.port());
-    Client.addPeer(Address);
-    CPPUNIT_ASSERT(waitUp(Client, Address));
-    Agent.drain();
-    wire::run_request Request;
-    Request.set_request_id("r");
-    Request.set_agent_incarnation(5);
-    Request.mutable_plain()->set_method("POST");
-    stream_record Record;
-    Client.open(Address, "/run", Request.SerializeAsString(), Record.hooks());
-    CPPUNIT_ASSERT(Record.wait() == stream_end::Finished);
-    wire::run_event Event;
-    CPPUNIT_ASSERT(Event.ParseFromString(Record.messages().back()));
-    CPPUNIT_ASSERT(Event.end().code() == wire::REFUSED);
-    CPPUNIT_ASSERT_EQUAL(std::string("draining"), Event.end().reason());
-    Client.stop();
+    for (bool ByRule : {false, true}) {
+      agent Agent({.Name = "a",
+                   .Incarnation = 5,
+                   .UpstreamAddress = "127.0.0.1:1",
+                   .StoreAddress = "127.0.0.1:1"});
+      CPPUNIT_ASSERT(Agent.start());
+      inner_client Client({.Self = testIdentity("entry")});
+      Client.start();
+      const std::string Address = addressOf(Agent.port());
+      Client.addPeer(Address);
+      CPPUNIT_ASSERT(waitUp(Client, Address));
+      if (ByRule)
+        Client.sendControl(Address, retiringConfiguration());
+      else
+        Agent.drain();
+      CPPUNIT_ASSERT(waitFor([&] { return Agent.draining(); }));
+      wire::run_request Request;
+      Request.set_request_id("r");
+      Request.set_agent_incarnation(5);
+      Request.mutable_plain()->set_method("POST");
+      Request.mutable_plain()->set_target("/counter/x");
+      stream_record Record;
+      Client.open(Address, "/run", Request.SerializeAsString(), Record.hooks());
+      CPPUNIT_ASSERT(Record.wait() == stream_end::Finished);
+      wire::run_event Event;
+      CPPUNIT_ASSERT(Event.ParseFromString(Record.messages().back()));
+      CPPUNIT_ASSERT(Event.end().code() == wire::REFUSED);
+      CPPUNIT_ASSERT_EQUAL(std::string("draining"), Event.end().reason());
+      Client.stop();
+    }
   }
 
   // Guards against an attach that sends the whole answer again. The entry
