--- a/bench/cardamom_load.cpp
+++ b/bench/cardamom_load.cpp
@@ -44,6 +44,8 @@
   int DepositRetries = 10;
   int Rounds = 5;
   int TimeoutMs = 30'000;
+  /// Right answers up to this age count as in time.
+  int DeadlineMs = 30'000;
   std::vector<int> Pids;
   uint64_t Deposits = 0;
   std::string DepositPath = "/deposits";
@@ -152,6 +154,7 @@
       return static_cast<float>(milliseconds_f(Time - Due).count());
     };
     Part.LatencyMs.push_back(Since(steady_clock::now()));
+    Part.InTime += Part.LatencyMs.back() <= float(Options.DeadlineMs);
     if (Options.Plan.Kind == call_kind::Plain)
       return;
     Part.FirstTokenMs.push_back(Since(Result.FirstByte));
@@ -190,6 +193,7 @@
   json Report = {
       {"requests", Stats.Requests},
       {"ok", Stats.ok()},
+      {"ok_in_time", Stats.InTime},
       {"errors", Stats.Errors},
       {"retries", Stats.Retries},
       {"seconds", Elapsed},
@@ -460,6 +464,10 @@
       ->check(CLI::Range(1, 1000))
       ->capture_default_str();
   App.add_option("--timeout-ms", Options.TimeoutMs)->capture_default_str();
+  App.add_option("--deadline-ms", Options.DeadlineMs,
+                 "answers up to this age, from the time at which the call "
+                 "was due, are in time")
+      ->capture_default_str();
   App.add_option("--pid", Options.Pids, "process to measure, repeatable");
   App.add_option("--deposits", Options.Deposits,
                  "non-idempotent POSTs instead of other calls");
--- a/bench/load_stats.h
+++ b/bench/load_stats.h
@@ -40,6 +40,8 @@
   std::map<std::string, uint64_t> Errors;
   uint64_t Requests = 0;
   uint64_t Retries = 0;
+  /// Right answers within the deadline of the run.
+  uint64_t InTime = 0;
   uint64_t Tokens = 0;
 
   void add(const load_stats &Other) {
@@ -51,6 +53,7 @@
       Errors[Reason] += Count;
     Requests += Other.Requests;
     Retries += Other.Retries;
+    InTime += Other.InTime;
     Tokens += Other.Tokens;
   }
 
--- a/cmd/cardamomd.cpp
+++ b/cmd/cardamomd.cpp
@@ -99,7 +99,8 @@
                .SeedPeers = S.SeedPeers,
                .Lease = S.Lease,
                .DrainNotice = S.DrainNotice,
-               .HttpThreads = S.HttpThreads});
+               .HttpThreads = S.HttpThreads,
+               .StragglerMoves = S.StragglerMoves});
   Entry.start();
   stop_signal Stop([] {});
   Stop.waitUntilRequested();
--- a/entry/entry.cpp
+++ b/entry/entry.cpp
@@ -175,6 +175,7 @@
                   std::to_string(Server.port());
   Links.Incarnation = Options.Incarnation;
   Links.Lease = Options.Lease;
+  Links.StragglerMoves = Options.StragglerMoves;
   Links.InstallWeights = [this](const std::string &Trainer, uint64_t Version,
                                 std::string Body) {
     return Documents.install({"weights/" + Trainer, Version, std::move(Body)});
--- a/entry/entry.h
+++ b/entry/entry.h
@@ -40,6 +40,8 @@
   /// How long the entry goes on serving after drain() has made it unready.
   milliseconds DrainNotice{3000};
   unsigned HttpThreads = 256;
+  /// Moves of one slow sample of a step at most; 0 = none.
+  unsigned StragglerMoves = 2;
 };
 
 class entry {
--- a/entry/step_service.cpp
+++ b/entry/step_service.cpp
@@ -177,6 +177,7 @@
   step_owner_options Owner;
   Owner.Trainer = Trainer;
   Owner.Lease = leaseOptions(Trainer);
+  Owner.Straggler.MaxMoves = Options.StragglerMoves;
   Owner.Config = [this] { return Options.Directory->config(); };
   Owner.Dispatch = [this](dispatch_call Call,
                           std::shared_ptr<run_progress> Progress,
--- a/entry/step_service.h
+++ b/entry/step_service.h
@@ -45,6 +45,8 @@
   std::string Address;
   uint64_t Incarnation = 0;
   milliseconds Lease{10000};
+  /// straggler_options::MaxMoves
+  unsigned StragglerMoves = 2;
   /// Installs document "weights/{trainer}"; false when the version is not
   /// higher than the one held.
   std::function<bool(const std::string &Trainer, uint64_t Version,
--- a/settings/daemon_settings.cpp
+++ b/settings/daemon_settings.cpp
@@ -101,7 +101,8 @@
       {"lease_ms", Settings.Lease.count()},
       {"http_threads", Settings.HttpThreads},
       {"retained_answers_mib", Settings.RetainedAnswerBytes / BytesPerMib},
-      {"max_body_kib", Settings.MaxBodyBytes / BytesPerKib}};
+      {"max_body_kib", Settings.MaxBodyBytes / BytesPerKib},
+      {"straggler_moves", Settings.StragglerMoves}};
   return Json.dump(IndentSpaces, ' ', false,
                    nlohmann::json::error_handler_t::replace);
 }
--- a/settings/daemon_settings.h
+++ b/settings/daemon_settings.h
@@ -59,6 +59,8 @@
   size_t RetainedAnswerBytes = size_t(64) << 20;
   /// Bound on the body of a request.
   size_t MaxBodyBytes = size_t(1) << 20;
+  /// Bound on the moves of one slow sample; 0 leaves each where it started.
+  unsigned StragglerMoves = 2;
 };
 
 struct parse_result {
--- a/settings/daemon_settings_test.cpp
+++ b/settings/daemon_settings_test.cpp
@@ -83,6 +83,7 @@
                             "--http-threads=3",
                             "--retained-answers-mib=0",
                             "--max-body-kib=1025",
+                            "--straggler-moves=11",
                             "--lease-ms=",
                             "--http-listen=127.0.0.1:7102"}) {
       // The option that is replaced must not be given twice.
--- a/settings/setting_reader.cpp
+++ b/settings/setting_reader.cpp
@@ -18,6 +18,7 @@
 constexpr uint64_t MaxRetainedMib = 1024;
 /// A frame of the inner protocol holds at most 1 MiB.
 constexpr uint64_t MaxBodyKib = 1024;
+constexpr uint64_t MaxStragglerMoves = 10;
 constexpr uint64_t MaxPort = 65535;
 constexpr size_t MaxSeedPeers = 16;
 constexpr size_t BytesPerKib = 1024;
@@ -106,6 +107,9 @@
   Settings.MaxBodyBytes =
       BytesPerKib * number(setting_id::MaxBodyKib,
                            {.Unit = "KiB", .Min = 1, .Max = MaxBodyKib});
+  Settings.StragglerMoves =
+      unsigned(number(setting_id::StragglerMoves,
+                      {.Unit = "moves", .Min = 0, .Max = MaxStragglerMoves}));
 }
 
 static uint16_t portOf(const std::string &Address) {
--- a/settings/setting_table.cpp
+++ b/settings/setting_table.cpp
@@ -36,6 +36,8 @@
      "MiB of finished responses that an agent keeps"},
     {setting_id::MaxBodyKib, "max-body-kib", "1024",
      "KiB of the largest request body"},
+    {setting_id::StragglerMoves, "straggler-moves", "2",
+     "moves of a slow sample to another upstream; 0 = none"},
 }};
 
 std::span<const setting_spec> settingTable() { return Table; }
--- a/settings/setting_table.h
+++ b/settings/setting_table.h
@@ -29,6 +29,7 @@
   HttpThreads,
   RetainedAnswersMib,
   MaxBodyKib,
+  StragglerMoves,
   Count
 };
 
