Look up the newer dispatches of an upstream by binary search

Cause: the router keeps 5 s of dispatch times for each upstream, 12,500 at 2,500 calls a second, and scanned all of them in every prediction and every dispatch. Both held 7.1% of the samples of the entry's profile (predictMs 5.1%, onDispatch 2.0%).

Change: the times are in order, so expired ones leave at the front of a deque and newer ones are counted by binary search. Decisions stay the same.

Tried and reverted: sending acknowledgements together after up to 10 ms instead of one inner stream for each answer.

--- a/policy/router.cpp
+++ b/policy/router.cpp
@@ -43,9 +43,12 @@
     const learned &Entry = It->second;
     if (Entry.MsPerWork > 0)
       MsPerWork = Entry.MsPerWork;
+    // Thousands at a high rate, so that a linear scan for each candidate would
+    // cost more than the rest of the choice.
     const auto Newer =
-        std::count_if(Entry.Dispatches.begin(), Entry.Dispatches.end(),
-                      [&](time_point At) { return At > Candidate.LoadAt; });
+        Entry.Dispatches.end() - std::upper_bound(Entry.Dispatches.begin(),
+                                                  Entry.Dispatches.end(),
+                                                  Candidate.LoadAt);
     // The report lags: own dispatches after it are not in it yet.
     Occupied = std::max<double>(Occupied + double(Newer) * Options.Entries,
                                 Entry.Outstanding);
@@ -95,8 +98,9 @@
   static constexpr milliseconds DispatchMemory{5000};
   learned &Entry = Learned[std::string(Upstream)];
   ++Entry.Outstanding;
-  std::erase_if(Entry.Dispatches,
-                [&](time_point At) { return Now - At > DispatchMemory; });
+  while (!Entry.Dispatches.empty() &&
+         Now - Entry.Dispatches.front() > DispatchMemory)
+    Entry.Dispatches.pop_front();
   Entry.Dispatches.push_back(Now);
   if (Request.PrefixHash == 0)
     return;
--- a/policy/router.h
+++ b/policy/router.h
@@ -16,6 +16,7 @@
 #include "base/time.h"
 
 #include <cstdint>
+#include <deque>
 #include <functional>
 #include <map>
 #include <optional>
@@ -102,7 +103,7 @@
     /// Requests dispatched here and not yet finished.
     unsigned Outstanding = 0;
     /// Own dispatches since the last load report, by time.
-    std::vector<time_point> Dispatches;
+    std::deque<time_point> Dispatches;
     /// Recently routed prefixes, oldest first.
     std::vector<uint64_t> Prefixes;
   };
