Let two entries of each failure domain watch the store

Cause: every entry read the VM list each second and held a watch, so that store calls grew with the number of entries (1.0 a second each, measured with 2 and 4 entries). Change: policy/watchers picks two entries a domain by rendezvous hashing; the others learn from their peers and ask the store every 15 s as a fallback.

--- a/entry/entry_state.h
+++ b/entry/entry_state.h
@@ -58,6 +58,8 @@
   [[nodiscard]] wire::control_frame heartbeat();
 
   // Threads.
+  /// Whether this entry is one of the few that watch the store.
+  [[nodiscard]] bool watchesStore() const;
   void watchConfiguration();
   void watchVms();
   void runTicker();
--- a/entry/entry_threads.cpp
+++ b/entry/entry_threads.cpp
@@ -2,6 +2,7 @@
 #include "base/metrics.h"
 #include "entry/entry_state.h"
 #include "inner/gen/messages.pb.h"
+#include "policy/watchers.h"
 
 #include <nlohmann/json.hpp>
 #include <stdexcept>
@@ -15,6 +16,9 @@
 static constexpr milliseconds WatchWait{10000};
 static constexpr milliseconds StoreRetry{250};
 static constexpr milliseconds VmInterval{1000};
+// Entries that are not watchers learn of documents from their peers and ask the
+// store only in case all watchers that they can hear have failed.
+static constexpr milliseconds FallbackInterval{15000};
 static constexpr milliseconds HeartbeatInterval{1000};
 static constexpr milliseconds TickInterval{100};
 
@@ -121,14 +125,27 @@
   }
 }
 
+bool entry::state::watchesStore() const {
+  const auto Known = Config.get();
+  if (!Known)
+    return true;
+  std::vector<std::string_view> Entries;
+  for (const asset &Asset : Known->Assets)
+    if (Asset.Kind == asset_kind::Entry &&
+        Asset.FailureDomain == Options.FailureDomain)
+      Entries.push_back(Asset.Name);
+  return isWatcher(Options.Name, Entries);
+}
+
 void entry::state::watchConfiguration() {
   // Also above a version that was rejected, or its watch would return at once
   // again and again.
   uint64_t Seen = 0;
-  while (sleep(milliseconds(0))) {
+  while (sleep(watchesStore() ? milliseconds(0) : FallbackInterval)) {
     const uint64_t After = std::max(Seen, Documents.version(ConfigDocument));
     const time_point Asked = steady_clock::now();
-    const store_result Result = Store.watch(ConfigKey, After, WatchWait);
+    const milliseconds Wait = watchesStore() ? WatchWait : milliseconds(0);
+    const store_result Result = Store.watch(ConfigKey, After, Wait);
     metrics::get()
         .counter("store_watch_results_total", "status", toString(Result.Status))
         .add();
@@ -145,7 +162,7 @@
 }
 
 void entry::state::watchVms() {
-  while (sleep(VmInterval)) {
+  while (sleep(watchesStore() ? VmInterval : FallbackInterval)) {
     const store_result Result = Store.vms();
     if (Result.Status == store_status::Ok &&
         Result.Version > Documents.version(VmsDocument))
--- /dev/null
+++ b/policy/watchers.h
@@ -0,0 +1,25 @@
+/// \file
+/// Chooses the entries that read configuration and VM list from the store.
+
+#ifndef CARDAMOM_POLICY_WATCHERS_H
+#define CARDAMOM_POLICY_WATCHERS_H
+
+#include <cstddef>
+#include <span>
+#include <string_view>
+
+namespace cardamom {
+
+/// Entries of each failure domain that watch the store. Two, so that one may
+/// fail; the store's rates grow more slowly than the fleet.
+inline constexpr size_t WatchersPerDomain = 2;
+
+/// Whether Self is among the first WatchersPerDomain of Entries (the names of
+/// all entries of its failure domain) by rendezvous hashing. An entry that is
+/// not listed watches: it does not know its place yet. Costs O(n).
+bool isWatcher(std::string_view Self,
+               std::span<const std::string_view> Entries);
+
+} // namespace cardamom
+
+#endif // CARDAMOM_POLICY_WATCHERS_H
--- /dev/null
+++ b/policy/watchers_test.cpp
@@ -0,0 +1,35 @@
+#include "policy/watchers.h"
+
+#include <cppunit/extensions/HelperMacros.h>
+#include <string>
+#include <vector>
+
+namespace cardamom {
+
+class watchers_test : public CppUnit::TestFixture {
+  CPPUNIT_TEST_SUITE(watchers_test);
+  CPPUNIT_TEST(twoOfManyWatch);
+  CPPUNIT_TEST(unlistedEntryWatches);
+  CPPUNIT_TEST_SUITE_END();
+
+public:
+  // Guards against store calls that grow with the fleet, and against a domain
+  // in which nobody watches.
+  void twoOfManyWatch() {
+    std::vector<std::string> Names;
+    for (int I = 0; I < 64; ++I)
+      Names.push_back("entry-" + std::to_string(I));
+    const std::vector<std::string_view> Entries(Names.begin(), Names.end());
+    size_t Watchers = 0;
+    for (std::string_view Name : Entries)
+      Watchers += isWatcher(Name, Entries) ? 1 : 0;
+    CPPUNIT_ASSERT_EQUAL(WatchersPerDomain, Watchers);
+  }
+
+  // Guards against a new entry that learns nothing before it is listed.
+  void unlistedEntryWatches() { CPPUNIT_ASSERT(isWatcher("new", {})); }
+};
+
+CPPUNIT_TEST_SUITE_NAMED_REGISTRATION(watchers_test, "watchers_test");
+
+} // namespace cardamom
