Serve 512 connections for each entry by default

Cause: an open connection holds an HTTP thread, and the default was 64. With 600 client connections on 2 entries, experiments.py overload did not end within 100 s: callers beyond the 128 threads wait without any answer.

Beyond 512 connections an entry still leaves callers waiting.

--- a/bench/experiments.py
+++ b/bench/experiments.py
@@ -148,7 +148,7 @@
                         cluster.upstreams[0].process.popen.pid]
                 total = totals.setdefault(build, {"ok": 0, "cpu": [0.0] * 3, "median": []})
                 report = load(*targets(cluster), "--kind", "plain", "--path", "/counter/load", "--threads", 4,
-                              "--requests", 8000, "--seconds", 10,
+                              "--requests", 16000, "--seconds", 10,
                               *[flag for pid in pids for flag in ("--pid", pid)])["target"]
                 total["ok"] += report["ok"]
                 total["median"].append(report["latency_ms"]["median"])
@@ -366,7 +366,7 @@
     sub.add_argument("--rounds", type=int, default=4)
     sub = commands.add_parser("overload")
     sub.add_argument("--threads", type=int, default=600, help="client connections")
-    sub.add_argument("--http-threads", type=int, default=64, help="setting of the entries")
+    sub.add_argument("--http-threads", type=int, default=512, help="setting of the entries")
     sub.add_argument("--part", choices=["plain", "live", "both"], default="both")
     sub.add_argument("--deadline-ms", type=int, default=500)
     sub = commands.add_parser("stragglers")
--- a/settings/daemon_settings.h
+++ b/settings/daemon_settings.h
@@ -54,7 +54,7 @@
   milliseconds DrainNotice{3000};
   /// Lease of a trainer's owner.
   milliseconds Lease{10000};
-  unsigned HttpThreads = 64;
+  unsigned HttpThreads = 512;
   /// Bound on finished responses that an agent keeps.
   size_t RetainedAnswerBytes = size_t(64) << 20;
   /// Bound on the body of a request.
--- a/settings/setting_table.cpp
+++ b/settings/setting_table.cpp
@@ -30,7 +30,7 @@
      "ms that an entry stays up but unready after SIGTERM"},
     {setting_id::LeaseMs, "lease-ms", "10000",
      "ms that the lease of a trainer's owner lasts"},
-    {setting_id::HttpThreads, "http-threads", "64",
+    {setting_id::HttpThreads, "http-threads", "512",
      "threads that serve HTTP; each open connection holds one"},
     {setting_id::RetainedAnswersMib, "retained-answers-mib", "64",
      "MiB of finished responses that an agent keeps"},
