Finish streams in flight when an entry is stopped

Cause: cpp-httplib ends streamed answers early once its server stops, so SIGTERM to an entry cut each stream that outlasted the drain notice, and the cut answer ended without an error. The rolling restart does not show it: its streams end within the notice.

Change: after the notice the entry refuses new calls as draining and waits until no call is in flight before it stops the HTTP server.

Conclusion: an entry keeps promise 8 for streams.

--- a/entry/entry.cpp
+++ b/entry/entry.cpp
@@ -195,7 +195,7 @@
   Links.Threads = Options.HttpThreads;
   Links.Dispatcher = &Dispatcher;
   Links.Config = [this] { return Config.get(); };
-  Links.Refusal = [this] { return refusal(); };
+  Links.Refusal = [this] { return Closing ? notReady() : refusal(); };
   Links.NotReady = [this] { return notReady(); };
   Links.Draining = [this] { return Draining.load(); };
   Links.Trainer = [this](const trainer_call &Call) {
@@ -289,7 +289,11 @@
   while (!Steps->waitingFor().empty() && steady_clock::now() < ReleaseUntil)
     if (!sleep(DrainPoll))
       return;
-  // Returns after the last call in flight.
+  // cpp-httplib ends streamed answers early once its server stops.
+  Closing = true;
+  while (Front->inFlight() > 0)
+    if (!sleep(DrainPoll))
+      return;
   Front->stop();
   logState("drained", {{"name", Options.Name}});
   stop();
--- a/entry/entry_state.h
+++ b/entry/entry_state.h
@@ -86,6 +86,8 @@
   std::unique_ptr<operator_pages> Pages;
 
   std::atomic<bool> Draining{false};
+  /// The drain notice is over: new calls are refused, those in flight end.
+  std::atomic<bool> Closing{false};
   std::atomic<bool> Started{false};
   std::atomic<uint64_t> HeartbeatSequence{0};
   std::mutex PeersMutex;
--- a/process_tests/failure_promise_test.py
+++ b/process_tests/failure_promise_test.py
@@ -334,6 +334,14 @@
 
 
 class DrainTest(unittest.TestCase):
+    def test_stopped_entry_finishes_its_streams(self):
+        """Promise 8: SIGTERM to an entry cuts no stream that outlasts the drain notice. The rolling restart
+        cannot show this: its streams end within the notice."""
+        with Cluster(engine_args=["--ms-per-token", "20"]) as cluster:
+            streams = Streams(cluster, 4, 150)
+            self.assertEqual(0, cluster.entries[0]["process"].terminate(30))
+            streams.check(self)
+
     def test_retiring_upstream_gets_no_new_work_and_cuts_nothing(self):
         """Promises 7 and 8: by rule and by VM list; long streams in flight finish."""
         for way in ("rule", "vm"):
