--- a/cmd/cardamomd.cpp
+++ b/cmd/cardamomd.cpp
@@ -99,6 +99,7 @@
                .SeedPeers = S.SeedPeers,
                .Lease = S.Lease,
                .DrainNotice = S.DrainNotice,
+               .MaxBodyBytes = S.MaxBodyBytes,
                .HttpThreads = S.HttpThreads,
                .StragglerMoves = S.StragglerMoves});
   Entry.start();
--- a/entry/entry.cpp
+++ b/entry/entry.cpp
@@ -197,6 +197,7 @@
   Links.Host = Listen.Host;
   Links.Port = Listen.Port;
   Links.Threads = Options.HttpThreads;
+  Links.MaxBodyBytes = Options.MaxBodyBytes;
   Links.Dispatcher = &Dispatcher;
   Links.Config = [this] { return Config.get(); };
   Links.Refusal = [this] { return Closing ? notReady() : refusal(); };
--- a/entry/entry.h
+++ b/entry/entry.h
@@ -39,6 +39,8 @@
   milliseconds Lease{10000};
   /// How long the entry goes on serving after drain() has made it unready.
   milliseconds DrainNotice{3000};
+  /// Largest body of a request; 960 KiB at most.
+  size_t MaxBodyBytes = size_t(960) << 10;
   unsigned HttpThreads = 256;
   /// Moves of one slow sample of a step at most; 0 = none.
   unsigned StragglerMoves = 2;
--- a/entry/http_front.cpp
+++ b/entry/http_front.cpp
@@ -12,7 +12,6 @@
 
 namespace cardamom {
 
-static constexpr size_t MaxBodyBytes = 960U << 10;
 // A chunked body beyond this is not read to its end.
 static constexpr size_t MaxSkippedBytes = 64U << 20;
 // Idle connections give their thread back after this time.
@@ -82,7 +81,7 @@
   Server->set_keep_alive_timeout(KeepAliveSeconds);
   Server->set_read_timeout(SocketTimeoutSeconds);
   Server->set_write_timeout(SocketTimeoutSeconds);
-  Server->set_payload_max_length(MaxBodyBytes);
+  Server->set_payload_max_length(this->Options.MaxBodyBytes);
   const size_t Threads = this->Options.Threads;
   Server->new_task_queue = [Threads] {
     return new httplib::ThreadPool(Threads);
@@ -166,20 +165,21 @@
   });
 }
 
-// Reads the body within the limit. Bytes beyond it are skipped, so that the
+// Reads a body of at most Limit bytes. Bytes beyond it are skipped, so that the
 // connection stays in step.
 static std::string readBody(const httplib::ContentReader &Reader,
-                            httplib::Response &Response) {
+                            httplib::Response &Response, size_t Limit) {
   std::string Body;
   size_t Total = 0;
   const bool Whole = Reader([&](const char *Data, size_t Size) {
     Total += Size;
-    if (Total <= MaxBodyBytes)
+    if (Total <= Limit)
       Body.append(Data, Size);
     return Total <= MaxSkippedBytes;
   });
-  if (Total > MaxBodyBytes || Response.status == 413)
-    throw input_error(413, "body_too_large", "body", "at most 960 KiB");
+  if (Total > Limit || Response.status == 413)
+    throw input_error(413, "body_too_large", "body",
+                      "at most " + std::to_string(Limit) + " bytes");
   if (!Whole)
     throw input_error(400, "body_unreadable", "body",
                       "a body of the announced length and encoding");
@@ -195,7 +195,7 @@
     Response.set_header("Connection", "close");
   try {
     if (Reader)
-      Caller.Body = readBody(*Reader, Response);
+      Caller.Body = readBody(*Reader, Response, Options.MaxBodyBytes);
     Response.status = -1;
     Caller.ContentType = Request.has_header(HiddenContentType)
                              ? Request.get_header_value(HiddenContentType)
--- a/entry/http_front.h
+++ b/entry/http_front.h
@@ -52,6 +52,8 @@
   /// 0 lets the system choose; see http_front::port().
   uint16_t Port = 0;
   size_t Threads = 256;
+  /// A body must fit one frame of the inner protocol, 960 KiB at most.
+  size_t MaxBodyBytes = size_t(960) << 10;
   dispatcher *Dispatcher = nullptr;
   /// Null while no configuration is known.
   std::function<std::shared_ptr<const configuration>()> Config;
--- a/settings/daemon_settings.h
+++ b/settings/daemon_settings.h
@@ -58,7 +58,7 @@
   /// Bound on finished responses that an agent keeps.
   size_t RetainedAnswerBytes = size_t(64) << 20;
   /// Bound on the body of a request.
-  size_t MaxBodyBytes = size_t(1) << 20;
+  size_t MaxBodyBytes = size_t(960) << 10;
   /// Bound on the moves of one slow sample; 0 leaves each where it started.
   unsigned StragglerMoves = 2;
 };
--- a/settings/setting_reader.cpp
+++ b/settings/setting_reader.cpp
@@ -17,7 +17,8 @@
 constexpr uint64_t MaxHttpThreads = 1024;
 constexpr uint64_t MaxRetainedMib = 1024;
 /// A frame of the inner protocol holds at most 1 MiB.
-constexpr uint64_t MaxBodyKib = 1024;
+// A body and its envelope must fit one inner frame of 1 MiB.
+constexpr uint64_t MaxBodyKib = 960;
 constexpr uint64_t MaxStragglerMoves = 10;
 constexpr uint64_t MaxPort = 65535;
 constexpr size_t MaxSeedPeers = 16;
--- a/settings/setting_table.cpp
+++ b/settings/setting_table.cpp
@@ -34,7 +34,7 @@
      "threads that serve HTTP; each open connection holds one"},
     {setting_id::RetainedAnswersMib, "retained-answers-mib", "64",
      "MiB of finished responses that an agent keeps"},
-    {setting_id::MaxBodyKib, "max-body-kib", "1024",
+    {setting_id::MaxBodyKib, "max-body-kib", "960",
      "KiB of the largest request body"},
     {setting_id::StragglerMoves, "straggler-moves", "2",
      "moves of a slow sample to another upstream; 0 = none"},
