Send a token's label before its text, and record both at once

Cause: the agent recorded the text of a token and then its version, and sent text before labels. The first line of a streamed answer therefore waited for the second token, and a run that ended between the two had text without a label. Change: run_table::append() takes the version with the bytes; spans are sent before the data that they label.

--- a/agent/answer_streams.cpp
+++ b/agent/answer_streams.cpp
@@ -107,15 +107,16 @@
     *Event.mutable_head() = std::move(*Chunk.Head);
     Send();
   }
+  // Before the text, so that the entry can label it without waiting.
+  for (wire::version_span &Span : Chunk.Spans) {
+    *Event.mutable_span() = std::move(Span);
+    Send();
+  }
   if (!Chunk.Bytes.empty()) {
     Event.mutable_data()->set_offset(Chunk.Offset);
     Event.mutable_data()->set_bytes(std::move(Chunk.Bytes));
     Send();
   }
-  for (wire::version_span &Span : Chunk.Spans) {
-    *Event.mutable_span() = std::move(Span);
-    Send();
-  }
   if (Chunk.State == run_chunk::state::Ended) {
     *Event.mutable_end() = std::move(*Chunk.End);
     Send();
--- a/agent/run_executor.cpp
+++ b/agent/run_executor.cpp
@@ -247,10 +247,11 @@
   return call(Id, Request);
 }
 
-bool run_executor::keep(const std::string &Id, std::string_view Bytes) {
+bool run_executor::keep(const std::string &Id, std::string_view Bytes,
+                        uint64_t Version) {
   const time_point Limit = steady_clock::now() + Options.AnswerWait;
   while (true) {
-    const append_result Result = Options.Table->append(Id, Bytes);
+    const append_result Result = Options.Table->append(Id, Bytes, Version);
     if (Result != append_result::Full)
       return Result == append_result::Ok;
     if (Stopping || steady_clock::now() >= Limit)
@@ -266,11 +267,11 @@
           [&](wire::response_head Head) {
             Options.Table->setHead(Id, std::move(Head));
           },
-      .OnBytes = [&](std::string_view Bytes) { return keep(Id, Bytes); },
+      .OnBytes = [&](std::string_view Bytes) { return keep(Id, Bytes, 0); },
       .OnToken =
-          [&](uint64_t Version) {
-            Options.Table->addToken(Id, Version);
+          [&](std::string_view Text, uint64_t Version) {
             Tokens.fetch_add(1, std::memory_order_relaxed);
+            return keep(Id, Text, Version);
           }};
   wire::run_end End =
       Request.has_model()
--- a/agent/run_executor.h
+++ b/agent/run_executor.h
@@ -104,7 +104,7 @@
   [[nodiscard]] bool engineRefuses(const wire::run_request &Request,
                                    wire::run_end &End) const;
   wire::run_end call(const std::string &Id, const wire::run_request &Request);
-  bool keep(const std::string &Id, std::string_view Bytes);
+  bool keep(const std::string &Id, std::string_view Bytes, uint64_t Version);
   void conclude(const std::string &Id, wire::run_end End);
   void cancelLoop();
 
--- a/agent/run_table.cpp
+++ b/agent/run_table.cpp
@@ -119,7 +119,14 @@
   return Fits();
 }
 
-append_result run_table::append(std::string_view Id, std::string_view Bytes) {
+void run_table::addToken(record &Record, uint64_t Version) {
+  if (Record.Spans.empty() || Record.Spans.back().version() != Version)
+    Record.Spans.emplace_back().set_version(Version);
+  Record.Spans.back().set_tokens(Record.Spans.back().tokens() + 1);
+}
+
+append_result run_table::append(std::string_view Id, std::string_view Bytes,
+                                uint64_t Version) {
   {
     std::lock_guard Lock(Mutex);
     record *Record = find(Id);
@@ -129,21 +136,13 @@
       return append_result::Full;
     Record->Body += Bytes;
     TotalBytes += Bytes.size();
+    if (Version != 0)
+      addToken(*Record, Version);
   }
   changed(Id);
   return append_result::Ok;
 }
 
-void run_table::addToken(std::string_view Id, uint64_t Version) {
-  std::lock_guard Lock(Mutex);
-  record *Record = find(Id);
-  if (Record == nullptr || Record->State != wire::RUNNING)
-    return;
-  if (Record->Spans.empty() || Record->Spans.back().version() != Version)
-    Record->Spans.emplace_back().set_version(Version);
-  Record->Spans.back().set_tokens(Record->Spans.back().tokens() + 1);
-}
-
 bool run_table::finish(std::string_view Id, wire::run_end End, time_point Now) {
   {
     std::lock_guard Lock(Mutex);
--- a/agent/run_table.h
+++ b/agent/run_table.h
@@ -6,7 +6,7 @@
 ///   Table.insert({.RequestId = Id, .Idempotent = true}, Now);
 ///   Table.start(Id);                    // just before the upstream sees it
 ///   Table.setHead(Id, Head);
-///   Table.append(Id, Bytes);            // Full = wait for the reader
+///   Table.append(Id, Bytes, Version);   // Full = wait for the reader
 ///   Table.finish(Id, End, Now);
 /// and for readers
 ///   uint64_t Token = *Table.attach(Id, Now);
@@ -126,9 +126,11 @@
   /// (refused or cancelled, started before, unknown): it must not be run then.
   bool start(std::string_view Id);
   void setHead(std::string_view Id, wire::response_head Head);
-  append_result append(std::string_view Id, std::string_view Bytes);
-  /// Adds one token of a weight version.
-  void addToken(std::string_view Id, uint64_t Version);
+  /// Adds bytes of the answer and, when Version is not 0, one token of that
+  /// weight version. Both become visible at once, so that text and labels
+  /// agree wherever the run ends.
+  append_result append(std::string_view Id, std::string_view Bytes,
+                       uint64_t Version = 0);
   /// Ends the run; spans and length are filled in. Returns false when it has
   /// ended before. REFUSED needs a run that did not reach the upstream.
   bool finish(std::string_view Id, wire::run_end End, time_point Now);
@@ -192,6 +194,7 @@
     time_point At;
   };
 
+  static void addToken(record &Record, uint64_t Version);
   record *find(std::string_view Id);
   [[nodiscard]] const record *find(std::string_view Id) const;
   void changed(std::string_view Id) const;
--- a/agent/run_table_test.cpp
+++ b/agent/run_table_test.cpp
@@ -13,6 +13,7 @@
   CPPUNIT_TEST(refusedRequestMayComeAgain);
   CPPUNIT_TEST(keepsKeyedAnswerAfterAcknowledgement);
   CPPUNIT_TEST(stopDoesNotWaitForSamplesThatWereRead);
+  CPPUNIT_TEST(textAndLabelOfTokenAgree);
   CPPUNIT_TEST_SUITE_END();
 
   static void complete(run_table &Table, std::string_view Id,
@@ -141,6 +142,22 @@
     Table.read("s", *Table.attach("s", {}), Cursor, 100);
     CPPUNIT_ASSERT_EQUAL(size_t(0), Table.unacknowledged());
   }
+
+  // Guards against a partial answer whose text has a token that no label
+  // covers: a resumed sample would be labelled wrongly.
+  void textAndLabelOfTokenAgree() {
+    run_table Table({.MaxAnswerBytes = 4});
+    Table.insert({.RequestId = "a", .Idempotent = true}, {});
+    Table.start("a");
+    CPPUNIT_ASSERT(Table.append("a", "abc", 7) == append_result::Ok);
+    CPPUNIT_ASSERT(Table.append("a", "def", 7) == append_result::Full);
+    Table.finish("a", {}, {});
+    CPPUNIT_ASSERT(Table.append("a", "d", 7) == append_result::Ended);
+    const wire::run_end End = *Table.end("a");
+    CPPUNIT_ASSERT_EQUAL(uint64_t(3), End.answer_bytes());
+    CPPUNIT_ASSERT_EQUAL(1, End.spans_size());
+    CPPUNIT_ASSERT_EQUAL(1U, End.spans(0).tokens());
+  }
 };
 
 CPPUNIT_TEST_SUITE_NAMED_REGISTRATION(run_table_test, "run_table_test");
--- a/agent/token_stream.cpp
+++ b/agent/token_stream.cpp
@@ -25,10 +25,10 @@
   const auto Version = Object.find("version");
   if (Version == Object.end() || !Version->is_number_unsigned())
     return token_stream_result::Unlabelled;
-  if (!Options.OnText(Token->get_ref<const std::string &>()))
-    return token_stream_result::GivenUp;
-  Options.OnToken(Version->get<uint64_t>());
-  return token_stream_result::Open;
+  const auto &Text = Token->get_ref<const std::string &>();
+  return Options.OnToken(Text, Version->get<uint64_t>())
+             ? token_stream_result::Open
+             : token_stream_result::GivenUp;
 }
 
 bool token_stream::feed(std::string_view Bytes) {
--- a/agent/token_stream.h
+++ b/agent/token_stream.h
@@ -3,7 +3,7 @@
 /// pieces of any size.
 ///
 /// Use:
-///   token_stream Stream({.OnText = ..., .OnToken = ...});
+///   token_stream Stream({.OnToken = ...});
 ///   while (...) if (!Stream.feed(Bytes)) break;
 ///   switch (Stream.result()) ...
 
@@ -27,13 +27,14 @@
   Unlabelled,
   /// A line is not what an engine sends, or too long.
   Malformed,
-  /// OnText gave up.
+  /// OnToken gave up.
   GivenUp,
 };
 
 struct token_stream_options {
-  std::function<bool(std::string_view Text)> OnText;
-  std::function<void(uint64_t Version)> OnToken;
+  /// One token and the weight version that produced it. Returns false to give
+  /// up the stream.
+  std::function<bool(std::string_view Text, uint64_t Version)> OnToken;
   /// Longest line in bytes.
   size_t MaxLine = size_t(1) << 20;
 };
--- a/agent/upstream_driver.cpp
+++ b/agent/upstream_driver.cpp
@@ -238,7 +238,7 @@
       Sink.OnHead(toHead(Response));
     return Status == 200;
   };
-  token_stream Stream({.OnText = Sink.OnBytes, .OnToken = Sink.OnToken});
+  token_stream Stream({.OnToken = Sink.OnToken});
   Request.content_receiver = [&](const char *Data, size_t Length, uint64_t,
                                  uint64_t) {
     return Stream.feed({Data, Length});
--- a/agent/upstream_driver.h
+++ b/agent/upstream_driver.h
@@ -47,10 +47,10 @@
 /// Receives an answer on the thread of the call.
 struct run_sink {
   std::function<void(wire::response_head Head)> OnHead;
-  /// Bytes of the answer body. Returns false to give up the call.
+  /// Bytes of the body of a plain answer. Returns false to give up the call.
   std::function<bool(std::string_view Bytes)> OnBytes;
-  /// One token of a weight version; its text has gone to OnBytes.
-  std::function<void(uint64_t Version)> OnToken;
+  /// One token of a model's answer. Returns false to give up the call.
+  std::function<bool(std::string_view Text, uint64_t Version)> OnToken;
 };
 
 struct upstream_driver_options {
--- a/agent/upstream_driver_thread_test.cpp
+++ b/agent/upstream_driver_thread_test.cpp
@@ -25,7 +25,12 @@
               Bytes += New;
               return true;
             },
-        .OnToken = [this](uint64_t V) { Versions.push_back(V); }};
+        .OnToken =
+            [this](std::string_view Text, uint64_t V) {
+              Bytes += Text;
+              Versions.push_back(V);
+              return true;
+            }};
   }
 };
 
--- a/bench/capacity_bench.cpp
+++ b/bench/capacity_bench.cpp
@@ -166,8 +166,7 @@
   const std::string Text(Bytes, 'x');
   Table.insert({.RequestId = Id, .Idempotent = true}, Now);
   Table.start(Id);
-  Table.append(Id, Text);
-  Table.addToken(Id, 1);
+  Table.append(Id, Text, 1);
   Table.finish(Id, {}, Now);
 }
 
