--- a/bench/capacity_bench.cpp
+++ b/bench/capacity_bench.cpp
@@ -88,10 +88,19 @@
     // 380 entries to 600 replicas.
     const bool Entry = I % 49 < 19;
     const std::string Number = std::to_string(I);
-    Csv += (Entry ? "entry-" : "model-") + Number +
-           (Entry ? ",entry,," : ",model,notes,") + "vm-" + Number + ",r" +
-           std::to_string(I % 2) + ",fd-" + std::to_string(I % 6) + "," +
-           Address(I, 0) + "," + Address(I, 1) + ",16\n";
+    Csv += Entry ? "entry-" : "model-";
+    Csv += Number;
+    Csv += Entry ? ",entry,,vm-" : ",model,notes,vm-";
+    Csv += Number;
+    Csv += ",r";
+    Csv += std::to_string(I % 2);
+    Csv += ",fd-";
+    Csv += std::to_string(I % 6);
+    Csv += ",";
+    Csv += Address(I, 0);
+    Csv += ",";
+    Csv += Address(I, 1);
+    Csv += ",16\n";
   }
   return Csv;
 }
@@ -154,6 +163,7 @@
           [](size_t N) {
             const std::vector<upstream_view> Views = views(N);
             std::vector<subset_candidate> Candidates;
+            Candidates.reserve(N);
             for (const upstream_view &View : Views)
               Candidates.push_back({View.Name, View.FailureDomain});
             return timeUs(
--- a/entry/entry.cpp
+++ b/entry/entry.cpp
@@ -115,7 +115,7 @@
     for (const wire::control_frame &Reply : Replies)
       Server.sendControl(Peer, Reply);
   };
-  Hooks.OnRequest = [this](std::shared_ptr<server_stream> Stream,
+  Hooks.OnRequest = [this](const std::shared_ptr<server_stream> &Stream,
                            std::string_view Path, std::string_view Message) {
     step_service *Service = ServingSteps.load();
     if (Service && (Path == "/draw" || Path == "/submit"))
--- a/policy/watchers_test.cpp
+++ b/policy/watchers_test.cpp
@@ -17,6 +17,7 @@
   // in which nobody watches.
   void twoOfManyWatch() {
     std::vector<std::string> Names;
+    Names.reserve(64);
     for (int I = 0; I < 64; ++I)
       Names.push_back("entry-" + std::to_string(I));
     const std::vector<std::string_view> Entries(Names.begin(), Names.end());
--- a/scripts/test.sh
+++ b/scripts/test.sh
@@ -26,12 +26,12 @@
 
 echo "== address and undefined-behaviour sanitizers"
 configure build-asan -DCARDAMOM_SANITIZE=address
-cmake --build build-asan -j "$jobs" | tail -n 1
+cmake --build build-asan --target unit_tests -j "$jobs" | tail -n 1
 ctest --test-dir build-asan -j 4 --output-on-failure -LE process
 
 echo "== thread sanitizer"
 configure build-tsan -DCARDAMOM_SANITIZE=thread
-cmake --build build-tsan -j "$jobs" | tail -n 1
+cmake --build build-tsan --target unit_tests -j "$jobs" | tail -n 1
 ctest --test-dir build-tsan -j 4 --output-on-failure -L thread
 
 echo "== fuzz targets"
