Keep the output of the fuzz targets in a file

Cause: libFuzzer prints hundreds of lines that nobody reads. Change: its output goes to a log that is shown on failure.

--- a/scripts/fuzz.sh
+++ b/scripts/fuzz.sh
@@ -9,6 +9,7 @@
   [ -e "$source" ] || continue
   target=$(basename "$source" .cpp)
   cmake --build build-fuzz --target "$target" | tail -n 1
-  build-fuzz/"$target" -runs="$runs" -seed=1 -max_len=4096 -print_final_stats=0 -verbosity=0
+  build-fuzz/"$target" -runs="$runs" -seed=1 -max_len=4096 >"build-fuzz.$target.log" 2>&1 ||
+    { tail -n 50 "build-fuzz.$target.log"; exit 1; }
   echo "$target: $runs inputs, seed 1"
 done
