--- a/base/log.cpp
+++ b/base/log.cpp
@@ -1,5 +1,6 @@
 #include "base/log.h"
 
+#include <spdlog/async.h>
 #include <spdlog/sinks/stdout_sinks.h>
 #include <spdlog/spdlog.h>
 #include <stdexcept>
@@ -14,7 +15,11 @@
     throw std::invalid_argument("log level \"" + Name +
                                 "\" is not one of trace, debug, info, warn, "
                                 "error, off");
-  auto Logger = spdlog::stderr_logger_mt("cardamom");
+  static constexpr size_t QueuedLines = 8192;
+  static constexpr size_t WriterThreads = 1;
+  spdlog::init_thread_pool(QueuedLines, WriterThreads);
+  auto Logger =
+      spdlog::create_async_nb<spdlog::sinks::stdout_sink_mt>("cardamom");
   Logger->set_pattern("ts=%Y-%m-%dT%H:%M:%S.%e level=%l process=" +
                       std::string(ProcessName) + " %v");
   Logger->set_level(Parsed);
@@ -22,6 +27,8 @@
   spdlog::set_default_logger(std::move(Logger));
 }
 
+void flushLog() { spdlog::shutdown(); }
+
 static bool needsQuotes(std::string_view Value) {
   return Value.empty() ||
          Value.find_first_of(" \"=\n\r\t") != std::string_view::npos;
--- a/base/log.h
+++ b/base/log.h
@@ -21,10 +21,15 @@
   std::string Value;
 };
 
-/// Directs the log to standard error. Level is one of trace, debug, info,
+/// Directs the log to standard output, through a bounded queue that a thread of
+/// its own empties: under pressure the oldest waiting lines are dropped, and a
+/// caller never blocks. Level is one of trace, debug, info,
 /// warn, error, off. Throws std::invalid_argument that names another level.
 void initLog(std::string_view ProcessName, std::string_view Level);
 
+/// Writes out what is waiting; to be called before the process ends.
+void flushLog();
+
 /// Writes one line at level info.
 void logState(std::string_view Event,
               std::initializer_list<log_field> Fields = {});
--- a/cmd/cardamomd.cpp
+++ b/cmd/cardamomd.cpp
@@ -1,5 +1,5 @@
 /// \file
-/// The daemon: an entry or an agent, as --role says.
+/// The daemon, in the role that --role says.
 ///
 /// Exit codes: 0 after a graceful shutdown, 1 for a failure at run time (such
 /// as a port in use), 2 for a refused setting. A second SIGTERM ends the
@@ -10,6 +10,11 @@
 #include "base/identifier.h"
 #include "base/log.h"
 #include "entry/entry.h"
+#include "http/event_loop.h"
+#include "http/http_client.h"
+#include "platform/protocols.h"
+#include "platform/store_calls.h"
+#include "server/gateway.h"
 #include "settings/daemon_settings.h"
 
 #include <atomic>
@@ -135,14 +140,78 @@
   return 0;
 }
 
+/// Calls to the store other than watches answer within milliseconds.
+constexpr milliseconds StoreCallTimeout{1000};
+
+int runGateway(const daemon_settings &S) {
+  event_loop Loop;
+  http_client Client(Loop, {});
+  platform::store_calls Store(Client, S.Store, StoreCallTimeout);
+  gateway Gateway(
+      Loop, Client,
+      {.Name = S.Name,
+       .FailureDomain = S.FailureDomain,
+       .CallerListen = S.HttpListen,
+       .ReadyListen = S.ReadyListen,
+       .InnerListen = S.InnerListen,
+       .MetricsListen = S.MetricsListen,
+       .Protocols = platform::makeProtocols(),
+       .SendToStore =
+           [&Store](const object_request &Request, object_callback Done) {
+             Store.send(Request, std::move(Done));
+           },
+       .LeaseLength = S.Lease,
+       .DrainNotice = S.DrainNotice,
+       .StopTimeout = S.StopTimeout});
+  Loop.onSignals({SIGTERM, SIGINT, SIGHUP}, [&](int Signal) {
+    logState("signal", {{"number", std::to_string(Signal)}});
+    // Settings are flags and environment variables, which do not change
+    // while the process runs.
+    if (Signal != SIGHUP)
+      Gateway.stop();
+  });
+  Gateway.start();
+  logState("started", {{"callers", S.HttpListen}, {"inner", S.InnerListen}});
+  Loop.run();
+  return 0;
+}
+
+int runReserve() {
+  event_loop Loop;
+  Loop.onSignals({SIGTERM, SIGINT, SIGHUP}, [&](int Signal) {
+    logState("signal", {{"number", std::to_string(Signal)}});
+    if (Signal != SIGHUP)
+      Loop.stop();
+  });
+  logState("started");
+  Loop.run();
+  return 0;
+}
+
+int runRole(const daemon_settings &Settings) {
+  switch (Settings.Role) {
+  case daemon_role::Entry:
+    return runEntry(Settings);
+  case daemon_role::Agent:
+    return runAgent(Settings);
+  case daemon_role::Gateway:
+    return runGateway(Settings);
+  case daemon_role::Reserve:
+    break;
+  }
+  return runReserve();
+}
+
 int run(const daemon_settings &Settings) {
   initLog(Settings.Name, Settings.LogLevel);
   std::signal(SIGPIPE, SIG_IGN);
+  const bool HasSignalThread = Settings.Role == daemon_role::Entry ||
+                               Settings.Role == daemon_role::Agent;
   const sigset_t Set = stopSignals();
-  pthread_sigmask(SIG_BLOCK, &Set, nullptr);
+  if (HasSignalThread)
+    pthread_sigmask(SIG_BLOCK, &Set, nullptr);
   try {
-    return Settings.Role == daemon_role::Entry ? runEntry(Settings)
-                                               : runAgent(Settings);
+    return runRole(Settings);
   } catch (const std::exception &Error) {
     logFault("failed", {{"error", Error.what()}});
     return ExitRunTimeFailure;
--- /dev/null
+++ b/gateway/plain_caller.cpp
@@ -0,0 +1,315 @@
+#include "gateway/plain_caller.h"
+
+#include "base/log.h"
+#include "base/metrics.h"
+#include "gateway/replica_directory.h"
+#include "http/event_loop.h"
+#include "http/http_client.h"
+#include "policy/router.h"
+
+#include <algorithm>
+#include <list>
+#include <optional>
+#include <vector>
+
+namespace cardamom {
+
+/// What a caller is told to wait when no replica takes its request: long
+/// enough for a slot to become free, short against usual targets.
+static constexpr milliseconds RetryHint{100};
+
+class plain_run : public std::enable_shared_from_this<plain_run> {
+public:
+  plain_run(const plain_caller_options &Options, plain_request Request,
+            std::function<void(plain_answer)> Done)
+      : Options(Options), Request(std::move(Request)), Done(std::move(Done)),
+        Plan({.Idempotent = this->Request.Idempotent,
+              .MaxAttempts = this->Request.MaxAttempts,
+              .Target = this->Request.Target,
+              .ReceivedAt = this->Request.ReceivedAt,
+              .Deadline = this->Request.Deadline}) {}
+  ~plain_run() {
+    for (const attempt &Attempt : Attempts)
+      if (!Attempt.Ended)
+        Options.Router.onAbandon(Attempt.ReplicaId, {}, event_loop::now());
+  }
+
+  void step();
+
+private:
+  struct attempt {
+    std::string ReplicaId;
+    time_point SentAt;
+    call_handle Call;
+    std::optional<upstream_head> Head;
+    std::string Body;
+    bool Ended = false;
+  };
+
+  [[nodiscard]] const replica *pickReplica(time_point Now);
+  void send(time_point Now);
+  void onHead(attempt &Attempt, const http_response &Head);
+  void onBody(attempt &Attempt, std::string_view Data);
+  void onEnd(attempt &Attempt, const call_end &End);
+  void fail(attempt &Attempt, attempt_failure Failure, std::string_view Reason);
+  void deliver(attempt &Attempt);
+  void giveUp(time_point Now);
+  void finish(plain_answer Answer);
+
+  const plain_caller_options &Options;
+  plain_request Request;
+  std::function<void(plain_answer)> Done;
+  call_plan Plan;
+  // Addresses must stay: hooks refer to their attempt.
+  std::list<attempt> Attempts;
+  /// A replica's own failure, delivered if no other attempt does better.
+  attempt *FailureAnswer = nullptr;
+  timer_handle Timer;
+  std::string LastReason = "no_replica";
+  bool Finished = false;
+};
+
+static upstream_view viewOf(const replica &Replica,
+                            const replica_directory &Directory) {
+  upstream_view View{.Name = Replica.Id,
+                     .FailureDomain = Replica.FailureDomain,
+                     .Connected = true,
+                     .Slots = Replica.Slots};
+  if (const auto Load = Directory.load(Replica.Id)) {
+    View.Running = Load->Report.Running;
+    View.Queued = Load->Report.Waiting;
+    View.LoadAt = Load->At;
+  }
+  return View;
+}
+
+const replica *plain_run::pickReplica(time_point Now) {
+  std::vector<const replica *> Usable =
+      Options.Directory.usable(Request.Service, Now);
+  std::vector<std::string> Tried;
+  for (const attempt &Attempt : Attempts)
+    Tried.push_back(Attempt.ReplicaId);
+  std::vector<upstream_view> Views;
+  Views.reserve(Usable.size());
+  for (const replica *Replica : Usable)
+    Views.push_back(viewOf(*Replica, Options.Directory));
+  const route_request Wanted{.Exclude = Tried,
+                             .OwnFailureDomain = Options.FailureDomain};
+  const auto Choice = Options.Router.pick(Wanted, Views, Now);
+  return Choice ? Usable[*Choice] : nullptr;
+}
+
+void plain_run::step() {
+  if (Finished)
+    return;
+  const time_point Now = event_loop::now();
+  switch (Plan.next(Now)) {
+  case call_step::Send:
+    send(Now);
+    return;
+  case call_step::GiveUp:
+    giveUp(Now);
+    return;
+  case call_step::Wait:
+    break;
+  }
+  const auto Delay =
+      std::chrono::ceil<milliseconds>(Plan.wakeAt() - Now);
+  Timer = Options.Loop.after(std::max(Delay, milliseconds(1)),
+                             [this] { step(); });
+}
+
+void plain_run::send(time_point Now) {
+  const replica *Replica = pickReplica(Now);
+  if (!Replica) {
+    // A second replica was wanted and there is none: wait for the first.
+    if (Plan.running() > 0) {
+      Timer = Options.Loop.after(
+          std::chrono::ceil<milliseconds>(Request.Deadline - Now),
+          [this] { step(); });
+      return;
+    }
+    giveUp(Now);
+    return;
+  }
+  if (!Attempts.empty())
+    metrics::get()
+        .counter("upstream_retries_total", "reason",
+                 Plan.running() > 0 ? "overdue" : LastReason)
+        .add();
+  Plan.onSent(Now);
+  Options.Router.onDispatch(Replica->Id, {}, Now);
+  upstream_call Call = Request.Call;
+  Call.ReplicaId = Replica->Id;
+  Call.TimeLeft = std::chrono::floor<milliseconds>(Request.Deadline - Now);
+  attempt &Attempt = Attempts.emplace_back();
+  Attempt.ReplicaId = Replica->Id;
+  Attempt.SentAt = Now;
+  Attempt.Call = Options.Client.send(
+      Replica->Address, Options.Protocol.Encode(Call),
+      {.OnHead = [this, &Attempt](
+                     const http_response &Head) { onHead(Attempt, Head); },
+       .OnBody = [this, &Attempt](
+                     std::string_view Data) { onBody(Attempt, Data); },
+       .OnEnd = [this, &Attempt](const call_end &End) {
+         onEnd(Attempt, End);
+       }});
+  step();
+}
+
+void plain_run::onHead(attempt &Attempt, const http_response &Head) {
+  Attempt.Head = Options.Protocol.Decode(Head);
+  if (Attempt.Head->Load)
+    Options.Directory.onLoad(Attempt.ReplicaId, *Attempt.Head->Load,
+                             event_loop::now());
+  // An answer of an earlier request that came late, or one that was changed
+  // on the way. Giving the call up closes the connection.
+  if (Attempt.Head->RequestId != Request.Call.RequestId)
+    fail(Attempt, attempt_failure::MayHaveRun, "foreign_answer");
+  else if (Attempt.Head->Encoded)
+    fail(Attempt, attempt_failure::MayHaveRun, "encoded_answer");
+}
+
+void plain_run::onBody(attempt &Attempt, std::string_view Data) {
+  if (Attempt.Ended)
+    return;
+  Attempt.Body += Data;
+  if (Attempt.Body.size() > Options.MaxAnswerBytes)
+    fail(Attempt, attempt_failure::MayHaveRun, "answer_too_large");
+}
+
+static bool isServerFailure(const upstream_head &Head) {
+  return Head.Status >= 500;
+}
+
+void plain_run::onEnd(attempt &Attempt, const call_end &End) {
+  if (Attempt.Ended)
+    return;
+  if (End.Result == call_result::NotConnected) {
+    Options.Directory.onCallFailed(Attempt.ReplicaId, event_loop::now());
+    fail(Attempt, attempt_failure::NotRun, "not_connected");
+    return;
+  }
+  if (End.Result != call_result::Complete || !Attempt.Head) {
+    Options.Directory.onCallFailed(Attempt.ReplicaId, event_loop::now());
+    fail(Attempt, attempt_failure::MayHaveRun, toString(End.Result));
+    return;
+  }
+  const upstream_head &Head = *Attempt.Head;
+  if (Head.NotRun) {
+    if (Head.WrongReplica)
+      Options.Directory.onCallFailed(Attempt.ReplicaId, event_loop::now());
+    fail(Attempt, attempt_failure::NotRun,
+         Head.WrongReplica ? "wrong_replica" : "refused");
+    return;
+  }
+  if (Head.Status / 100 == 2 && Head.Signature.empty()) {
+    fail(Attempt, attempt_failure::MayHaveRun, "unsigned_answer");
+    return;
+  }
+  if (isServerFailure(Head) && Request.Idempotent) {
+    FailureAnswer = &Attempt;
+    Options.Directory.onCallFailed(Attempt.ReplicaId, event_loop::now());
+    fail(Attempt, attempt_failure::MayHaveRun, "upstream_failure");
+    return;
+  }
+  deliver(Attempt);
+}
+
+void plain_run::fail(attempt &Attempt, attempt_failure Failure,
+                     std::string_view Reason) {
+  Attempt.Ended = true;
+  const time_point Now = event_loop::now();
+  Options.Router.onAbandon(Attempt.ReplicaId, {}, Now);
+  Plan.onFailed(Failure);
+  LastReason = Reason;
+  logState("attempt_failed",
+           {{"request", Request.Call.RequestId},
+            {"replica", Attempt.ReplicaId},
+            {"reason", LastReason},
+            {"attempt", std::to_string(Plan.sent())},
+            {"ms", std::to_string(std::chrono::duration_cast<milliseconds>(
+                                      Now - Attempt.SentAt)
+                                      .count())}});
+  // Not from inside the hook of the call that is about to be destroyed.
+  Options.Loop.post([Weak = weak_from_this(), &Attempt] {
+    const auto Self = Weak.lock();
+    if (!Self)
+      return;
+    Attempt.Call.reset();
+    Self->step();
+  });
+}
+
+void plain_run::deliver(attempt &Attempt) {
+  Attempt.Ended = true;
+  const time_point Now = event_loop::now();
+  const auto Elapsed =
+      std::chrono::duration_cast<milliseconds>(Now - Attempt.SentAt);
+  Options.Router.onFinish(Attempt.ReplicaId, {}, Elapsed, Now);
+  Options.Directory.onCallSucceeded(Attempt.ReplicaId);
+  finish({.FromReplica = true,
+          .Head = std::move(*Attempt.Head),
+          .Body = std::move(Attempt.Body),
+          .ReplicaId = Attempt.ReplicaId,
+          .Verdict = {}});
+}
+
+void plain_run::giveUp(time_point Now) {
+  if (FailureAnswer) {
+    finish({.FromReplica = true,
+            .Head = std::move(*FailureAnswer->Head),
+            .Body = std::move(FailureAnswer->Body),
+            .ReplicaId = FailureAnswer->ReplicaId,
+            .Verdict = {}});
+    return;
+  }
+  const bool TimedOut = Now >= Request.Deadline;
+  const run_certainty Certainty = Plan.certainty();
+  const double Jitter = Options.Random ? Options.Random() : 0;
+  finish({.FromReplica = false,
+          .Head = {},
+          .Body = {},
+          .ReplicaId = {},
+          .Verdict = {.Certainty = Certainty,
+                      .Reason = TimedOut ? "deadline" : LastReason,
+                      .Message = {},
+                      .RetryAfter =
+                          Certainty == run_certainty::NotRun
+                              ? RetryHint + milliseconds(long(
+                                                Jitter * RetryHint.count()))
+                              : milliseconds(0)}});
+}
+
+void plain_run::finish(plain_answer Answer) {
+  Finished = true;
+  Timer.reset();
+  // The run may be destroyed by Done; attempts that are still running are
+  // given up then.
+  Options.Loop.post([Weak = weak_from_this(), Answer = std::move(Answer)] {
+    const auto Self = Weak.lock();
+    if (!Self)
+      return;
+    for (attempt &Attempt : Self->Attempts) {
+      if (!Attempt.Ended) {
+        Attempt.Ended = true;
+        Self->Options.Router.onAbandon(Attempt.ReplicaId, {},
+                                       event_loop::now());
+      }
+      Attempt.Call.reset();
+    }
+    const auto Done = std::move(Self->Done);
+    if (Done)
+      Done(Answer);
+  });
+}
+
+plain_run_ptr plain_caller::start(plain_request Request,
+                                  std::function<void(plain_answer)> Done) {
+  auto Run = std::make_shared<plain_run>(Options, std::move(Request),
+                                         std::move(Done));
+  Run->step();
+  return Run;
+}
+
+} // namespace cardamom
--- /dev/null
+++ b/gateway/replica_directory.cpp
@@ -0,0 +1,166 @@
+#include "gateway/replica_directory.h"
+
+#include <algorithm>
+#include <set>
+
+namespace cardamom {
+
+replica_directory::replica_directory(replica_directory_options Options)
+    : Options(std::move(Options)) {}
+
+void replica_directory::log(std::string_view Event, const replica &Replica,
+                            const std::string &Detail) const {
+  if (Options.Log)
+    Options.Log(Event, Replica, Detail);
+}
+
+void replica_directory::replaceAll(std::span<const replica> Replicas,
+                                   bool AfterOutage, time_point Now) {
+  std::set<std::string, std::less<>> Listed;
+  for (const replica &Replica : Replicas) {
+    Listed.insert(Replica.Id);
+    update(Replica, Now);
+  }
+  std::vector<std::string> Missing;
+  for (const auto &[Id, Entry] : Entries)
+    if (!Listed.contains(Id))
+      Missing.push_back(Id);
+  for (const std::string &Id : Missing)
+    remove(Id, AfterOutage, Now);
+}
+
+void replica_directory::update(const replica &Replica, time_point /*Now*/) {
+  const auto It = Entries.find(Replica.Id);
+  if (It == Entries.end()) {
+    Entries[Replica.Id].Replica = Replica;
+    log("replica_added", Replica, Replica.Draining ? "draining" : "ready");
+    return;
+  }
+  entry &Entry = It->second;
+  Entry.MissingUntil.reset();
+  const replica Old = std::move(Entry.Replica);
+  Entry.Replica = Replica;
+  if (Old.StartedAtMs != Replica.StartedAtMs ||
+      Old.Address != Replica.Address) {
+    // A new process under the old id: nothing that was known of it holds.
+    Entry.Failures = 0;
+    Entry.AvoidUntil = {};
+    Entry.Load.reset();
+    log("replica_restarted", Replica, std::to_string(Replica.StartedAtMs));
+    return;
+  }
+  // Lists lag behind what calls have shown; versions only rise while a
+  // process lives.
+  for (const auto &[Model, Version] : Old.Versions) {
+    uint64_t &Known = Entry.Replica.Versions[Model];
+    Known = std::max(Known, Version);
+  }
+  if (Old.Draining != Replica.Draining)
+    log("replica_state", Replica, Replica.Draining ? "draining" : "ready");
+}
+
+void replica_directory::remove(std::string_view Id, bool AfterOutage,
+                               time_point Now) {
+  const auto It = Entries.find(Id);
+  if (It == Entries.end())
+    return;
+  if (AfterOutage && !It->second.Replica.Draining) {
+    if (!It->second.MissingUntil) {
+      It->second.MissingUntil = Now + Options.OutageGrace;
+      log("replica_missing", It->second.Replica, "store was lost");
+    }
+    return;
+  }
+  log("replica_removed", It->second.Replica, {});
+  Entries.erase(It);
+}
+
+void replica_directory::expire(time_point Now) {
+  std::erase_if(Entries, [&](const auto &Item) {
+    const entry &Entry = Item.second;
+    if (!Entry.MissingUntil || Now < *Entry.MissingUntil)
+      return false;
+    log("replica_removed", Entry.Replica, "not registered after the outage");
+    return true;
+  });
+}
+
+const replica *replica_directory::find(std::string_view Id) const {
+  const auto It = Entries.find(Id);
+  return It == Entries.end() ? nullptr : &It->second.Replica;
+}
+
+std::vector<const replica *>
+replica_directory::usable(std::string_view Service, time_point Now) const {
+  std::vector<const replica *> Good;
+  std::vector<const replica *> Avoided;
+  for (const auto &[Id, Entry] : Entries) {
+    if (Entry.Replica.Service != Service || Entry.Replica.Draining)
+      continue;
+    (Now < Entry.AvoidUntil ? Avoided : Good).push_back(&Entry.Replica);
+  }
+  return Good.empty() ? Avoided : Good;
+}
+
+std::vector<const replica *>
+replica_directory::listed(std::string_view Service) const {
+  std::vector<const replica *> Found;
+  for (const auto &[Id, Entry] : Entries)
+    if (Entry.Replica.Service == Service)
+      Found.push_back(&Entry.Replica);
+  return Found;
+}
+
+void replica_directory::onCallFailed(std::string_view Id, time_point Now) {
+  const auto It = Entries.find(Id);
+  if (It == Entries.end())
+    return;
+  entry &Entry = It->second;
+  ++Entry.Failures;
+  if (Entry.Failures < Options.AvoidAfter)
+    return;
+  const unsigned Doublings =
+      std::min(Entry.Failures - Options.AvoidAfter, 10U);
+  const milliseconds Pause =
+      std::min(Options.AvoidMin * (1U << Doublings), Options.AvoidMax);
+  Entry.AvoidUntil = Now + Pause;
+  log("replica_avoided", Entry.Replica,
+      std::to_string(Entry.Failures) + " failures, " +
+          std::to_string(Pause.count()) + " ms");
+}
+
+void replica_directory::onCallSucceeded(std::string_view Id) {
+  const auto It = Entries.find(Id);
+  if (It == Entries.end())
+    return;
+  It->second.Failures = 0;
+  It->second.AvoidUntil = {};
+}
+
+void replica_directory::onLoad(std::string_view Id, const load_report &Load,
+                               time_point Now) {
+  const auto It = Entries.find(Id);
+  if (It != Entries.end())
+    It->second.Load = known_load{.Report = Load, .At = Now};
+}
+
+bool replica_directory::avoided(std::string_view Id, time_point Now) const {
+  const auto It = Entries.find(Id);
+  return It != Entries.end() && Now < It->second.AvoidUntil;
+}
+
+std::optional<replica_directory::known_load>
+replica_directory::load(std::string_view Id) const {
+  const auto It = Entries.find(Id);
+  return It == Entries.end() ? std::nullopt : It->second.Load;
+}
+
+void replica_directory::setVersion(std::string_view Id, std::string_view Model,
+                                   uint64_t Version) {
+  const auto It = Entries.find(Id);
+  if (It == Entries.end())
+    return;
+  It->second.Replica.Versions[std::string(Model)] = Version;
+}
+
+} // namespace cardamom
--- /dev/null
+++ b/http/http_message.h
@@ -0,0 +1,71 @@
+/// \file
+/// HTTP/1.1 messages as the event-driven server and client hand them over.
+
+#ifndef CARDAMOM_HTTP_HTTP_MESSAGE_H
+#define CARDAMOM_HTTP_HTTP_MESSAGE_H
+
+#include <initializer_list>
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace cardamom {
+
+struct http_header {
+  std::string Name;
+  std::string Value;
+};
+
+/// Headers in their order on the wire. Names compare without regard to case.
+class header_list {
+public:
+  header_list() = default;
+  header_list(std::initializer_list<http_header> Headers) : Headers(Headers) {}
+
+  /// Value of the first header of that name; empty when there is none.
+  [[nodiscard]] std::string_view get(std::string_view Name) const;
+  [[nodiscard]] bool has(std::string_view Name) const;
+  void add(std::string_view Name, std::string_view Value);
+  /// Replaces all headers of that name by one.
+  void set(std::string_view Name, std::string_view Value);
+  void remove(std::string_view Name);
+  /// Removes the headers that concern one connection only (RFC 9110, 7.6.1),
+  /// and those that frame the body.
+  void removeConnectionHeaders();
+
+  [[nodiscard]] auto begin() const { return Headers.begin(); }
+  [[nodiscard]] auto end() const { return Headers.end(); }
+
+private:
+  std::vector<http_header> Headers;
+};
+
+struct http_request {
+  std::string Method;
+  /// Path and query as on the request line.
+  std::string Target;
+  header_list Headers;
+  std::string Body;
+};
+
+struct http_response {
+  unsigned Status = 0;
+  header_list Headers;
+  std::string Body;
+};
+
+/// Compares header names and other ASCII tokens.
+bool equalsIgnoringCase(std::string_view A, std::string_view B);
+
+/// Path of a target, without its query.
+std::string_view pathOf(std::string_view Target);
+
+/// Value of a query parameter, percent-decoded; empty when it is absent.
+std::string queryParameter(std::string_view Target, std::string_view Name);
+
+/// Percent-encodes everything but unreserved characters (RFC 3986, 2.3).
+std::string percentEncode(std::string_view Text);
+
+} // namespace cardamom
+
+#endif // CARDAMOM_HTTP_HTTP_MESSAGE_H
--- /dev/null
+++ b/http/http_server.cpp
@@ -0,0 +1,460 @@
+#include "http/http_server.h"
+
+#include "base/identifier.h"
+#include "http/event_loop.h"
+#include "http/socket_options.h"
+
+#include <boost/asio/buffer.hpp>
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/write.hpp>
+#include <boost/beast/core/flat_buffer.hpp>
+#include <boost/beast/http/parser.hpp>
+#include <boost/beast/http/string_body.hpp>
+#include <cstdio>
+#include <deque>
+#include <optional>
+#include <stdexcept>
+#include <unordered_set>
+
+namespace cardamom {
+
+namespace asio = boost::asio;
+namespace beast = boost::beast;
+using tcp = asio::ip::tcp;
+using error_code = boost::system::error_code;
+
+/// Callers that acknowledge nothing for this long are gone.
+static constexpr milliseconds CallerSilence{5000};
+static constexpr size_t ReadChunkBytes = 16384;
+/// Bytes of later requests that are kept while one is being handled.
+static constexpr size_t MaxPipelinedBytes = 65536;
+static constexpr milliseconds AcceptRetryDelay{50};
+
+struct http_server::state : std::enable_shared_from_this<state> {
+  state(event_loop &Loop, http_server_options Options)
+      : Loop(Loop), Options(std::move(Options)), Acceptor(Loop.context()) {}
+
+  void listen();
+  void accept();
+
+  event_loop &Loop;
+  http_server_options Options;
+  tcp::acceptor Acceptor;
+  std::unordered_set<server_connection_state *> Open;
+  size_t InFlight = 0;
+  bool Accepting = false;
+  std::optional<milliseconds> CloseIdleAfter;
+};
+
+/// One connection of a caller. A single read loop feeds the parser while a
+/// request is being read, and notices the caller's end while one is handled.
+class server_connection_state
+    : public std::enable_shared_from_this<server_connection_state> {
+public:
+  server_connection_state(std::shared_ptr<http_server::state> Server,
+                          tcp::socket Socket)
+      : Server(std::move(Server)), Socket(std::move(Socket)) {
+    this->Server->Open.insert(this);
+  }
+  ~server_connection_state() {
+    Server->Open.erase(this);
+    if (!Server->Accepting && Server->Acceptor.is_open())
+      Server->accept();
+  }
+
+  void start() {
+    configureSocket(Socket.native_handle(), CallerSilence);
+    beginRequest();
+    read();
+  }
+  void closeWhenIdle(milliseconds IdleFor);
+  void close();
+
+  void queue(std::string Bytes);
+  void finishAnswer();
+  void answerComplete() { AnswerComplete = true; }
+  [[nodiscard]] bool closeAfterAnswer() const {
+    return !KeepAlive || Server->CloseIdleAfter.has_value();
+  }
+
+private:
+  using parser =
+      beast::http::request_parser<beast::http::string_body,
+                                  std::allocator<char>>;
+
+  void beginRequest();
+  void read();
+  void onRead(const error_code &Error, size_t Bytes);
+  void parse();
+  void handle();
+  void refuse(unsigned Status, std::string_view Reason);
+  void write();
+  void armIdleTimer();
+  void callerGone();
+
+  friend class http_exchange;
+  std::shared_ptr<http_server::state> Server;
+  tcp::socket Socket;
+  beast::flat_buffer Buffer;
+  std::optional<parser> Parser;
+  std::weak_ptr<http_exchange> Exchange;
+  std::deque<std::string> Outgoing;
+  timer_handle Timer;
+  bool Handling = false;
+  bool Reading = false;
+  bool Writing = false;
+  bool AnswerComplete = false;
+  bool KeepAlive = true;
+  bool CloseAfterWrite = false;
+  bool Closed = false;
+  bool ContinueSent = false;
+};
+
+void server_connection_state::beginRequest() {
+  Handling = false;
+  AnswerComplete = false;
+  ContinueSent = false;
+  Parser.emplace();
+  Parser->eager(true);
+  Parser->header_limit(uint32_t(Server->Options.Limits.HeaderBytes));
+  Parser->body_limit(Server->Options.Limits.BodyBytes);
+  armIdleTimer();
+}
+
+void server_connection_state::armIdleTimer() {
+  const milliseconds Idle = Server->CloseIdleAfter.value_or(
+      Server->Options.Limits.IdleTimeout);
+  if (Idle.count() == 0 && !Server->CloseIdleAfter) {
+    Timer.reset();
+    return;
+  }
+  Timer = Server->Loop.after(
+      Idle, [Weak = weak_from_this()] {
+        if (const auto Self = Weak.lock())
+          Self->close();
+      });
+}
+
+void server_connection_state::closeWhenIdle(milliseconds IdleFor) {
+  if (!Handling && Buffer.size() == 0)
+    Timer = Server->Loop.after(IdleFor, [Weak = weak_from_this()] {
+      const auto Self = Weak.lock();
+      if (Self && !Self->Handling)
+        Self->close();
+    });
+}
+
+void server_connection_state::read() {
+  if (Closed || Reading)
+    return;
+  Reading = true;
+  Socket.async_read_some(
+      Buffer.prepare(ReadChunkBytes),
+      [Self = shared_from_this()](const error_code &Error, size_t Bytes) {
+        Self->onRead(Error, Bytes);
+      });
+}
+
+void server_connection_state::onRead(const error_code &Error, size_t Bytes) {
+  Reading = false;
+  if (Closed)
+    return;
+  if (Error) {
+    callerGone();
+    return;
+  }
+  Buffer.commit(Bytes);
+  if (!Handling)
+    parse();
+  if (!Closed && (!Handling || Buffer.size() < MaxPipelinedBytes))
+    read();
+}
+
+void server_connection_state::parse() {
+  while (Buffer.size() > 0 && !Handling && !Closed && !CloseAfterWrite) {
+    const bool First = !Parser->got_some();
+    error_code Error;
+    const size_t Used = Parser->put(Buffer.data(), Error);
+    Buffer.consume(Used);
+    if (First) {
+      const milliseconds Limit = Server->Options.Limits.HeaderTimeout;
+      if (Limit.count() > 0)
+        Timer = Server->Loop.after(Limit, [Weak = weak_from_this()] {
+          const auto Self = Weak.lock();
+          if (Self && !Self->Handling && !Self->Parser->is_header_done())
+            Self->refuse(408, "header timeout");
+        });
+    }
+    if (Error == beast::http::error::header_limit)
+      return refuse(431, "header too large");
+    if (Error == beast::http::error::body_limit)
+      return refuse(413, "body too large");
+    if (Error && Error != beast::http::error::need_more)
+      return refuse(400, Error.message());
+    if (Parser->is_done())
+      return handle();
+    if (Parser->is_header_done() && !ContinueSent) {
+      ContinueSent = true;
+      if (equalsIgnoringCase(std::string_view(Parser->get()["Expect"]),
+                             "100-continue"))
+        queue("HTTP/1.1 100 Continue\r\n\r\n");
+    }
+    if (Error == beast::http::error::need_more || Used == 0)
+      return;
+  }
+}
+
+void server_connection_state::handle() {
+  Handling = true;
+  Timer.reset();
+  auto &Message = Parser->get();
+  KeepAlive = Message.keep_alive();
+  http_request Request;
+  Request.Method = std::string(Message.method_string());
+  Request.Target = std::string(Message.target());
+  for (const auto &Field : Message)
+    Request.Headers.add(std::string_view(Field.name_string()),
+                        std::string_view(Field.value()));
+  Request.Body = std::move(Message.body());
+  ++Server->InFlight;
+  const auto Created = std::make_shared<http_exchange>(
+      shared_from_this(), std::move(Request), event_loop::now());
+  Exchange = Created;
+  Server->Options.OnRequest(Created);
+}
+
+void server_connection_state::refuse(unsigned Status,
+                                     std::string_view Reason) {
+  KeepAlive = false;
+  CloseAfterWrite = true;
+  std::string Body(Reason);
+  Body += '\n';
+  queue("HTTP/1.1 " + std::to_string(Status) +
+        " Refused\r\nConnection: close\r\nContent-Type: text/plain\r\n"
+        "Content-Length: " +
+        std::to_string(Body.size()) + "\r\n\r\n" + Body);
+}
+
+void server_connection_state::queue(std::string Bytes) {
+  if (Closed)
+    return;
+  Outgoing.push_back(std::move(Bytes));
+  if (!Writing)
+    write();
+}
+
+void server_connection_state::write() {
+  Writing = true;
+  asio::async_write(
+      Socket, asio::buffer(Outgoing.front()),
+      [Self = shared_from_this()](const error_code &Error, size_t /*Bytes*/) {
+        Self->Writing = false;
+        if (Self->Closed)
+          return;
+        if (Error) {
+          Self->callerGone();
+          return;
+        }
+        Self->Outgoing.pop_front();
+        if (!Self->Outgoing.empty()) {
+          Self->write();
+          return;
+        }
+        if (Self->CloseAfterWrite) {
+          Self->close();
+          return;
+        }
+        if (Self->AnswerComplete)
+          Self->finishAnswer();
+      });
+}
+
+void server_connection_state::finishAnswer() {
+  if (closeAfterAnswer()) {
+    close();
+    return;
+  }
+  beginRequest();
+  parse();
+  read();
+}
+
+void server_connection_state::callerGone() {
+  const auto Current = Exchange.lock();
+  close();
+  if (!Current || Current->Finished)
+    return;
+  if (auto Hook = std::move(Current->OnCallerGone))
+    Hook();
+}
+
+void server_connection_state::close() {
+  if (Closed)
+    return;
+  Closed = true;
+  Timer.reset();
+  error_code Ignored;
+  // Without unread bytes this sends FIN, not RST, so that the caller still
+  // reads the answer.
+  Socket.shutdown(tcp::socket::shutdown_both, Ignored);
+  Socket.close(Ignored);
+}
+
+//===--- http_exchange ---===//
+
+static std::string_view reasonPhrase(unsigned Status) {
+  return std::string_view(
+      beast::http::obsolete_reason(beast::http::status(Status)));
+}
+
+static std::string headBytes(const http_response &Response, bool Close) {
+  std::string Out = "HTTP/1.1 " + std::to_string(Response.Status) + ' ';
+  Out += reasonPhrase(Response.Status);
+  Out += "\r\n";
+  for (const http_header &Header : Response.Headers) {
+    Out += Header.Name;
+    Out += ": ";
+    Out += Header.Value;
+    Out += "\r\n";
+  }
+  if (Close)
+    Out += "Connection: close\r\n";
+  return Out;
+}
+
+http_exchange::http_exchange(
+    std::shared_ptr<server_connection_state> Connection, http_request Request,
+    time_point ReceivedAt)
+    : Connection(std::move(Connection)), Request(std::move(Request)),
+      ReceivedAt(ReceivedAt) {}
+
+http_exchange::~http_exchange() {
+  --Connection->Server->InFlight;
+  if (!Finished)
+    Connection->close();
+}
+
+void http_exchange::answer(http_response Response) {
+  if (Started)
+    return;
+  Started = true;
+  Finished = true;
+  Response.Headers.removeConnectionHeaders();
+  std::string Bytes = headBytes(Response, Connection->closeAfterAnswer());
+  Bytes += "Content-Length: " + std::to_string(Response.Body.size()) +
+           "\r\n\r\n" + Response.Body;
+  Connection->answerComplete();
+  Connection->queue(std::move(Bytes));
+}
+
+void http_exchange::startStream(http_response Head) {
+  if (Started)
+    return;
+  Started = true;
+  Head.Headers.removeConnectionHeaders();
+  Connection->queue(headBytes(Head, Connection->closeAfterAnswer()) +
+                    "Transfer-Encoding: chunked\r\n\r\n");
+}
+
+void http_exchange::writeStream(std::string_view Data) {
+  if (!Started || Finished || Data.empty())
+    return;
+  char Size[20];
+  std::snprintf(Size, sizeof Size, "%zx\r\n", Data.size());
+  std::string Chunk(Size);
+  Chunk += Data;
+  Chunk += "\r\n";
+  Connection->queue(std::move(Chunk));
+}
+
+void http_exchange::finishStream() {
+  if (!Started || Finished)
+    return;
+  Finished = true;
+  Connection->answerComplete();
+  Connection->queue("0\r\n\r\n");
+}
+
+void http_exchange::abort() {
+  Started = true;
+  Finished = true;
+  Connection->close();
+}
+
+//===--- http_server ---===//
+
+void http_server::state::listen() {
+  const auto Address = parseIpPort(Options.Listen);
+  if (!Address)
+    throw std::runtime_error("\"" + Options.Listen + "\" is not " +
+                             std::string(IpPortFormat));
+  const tcp::endpoint Endpoint(asio::ip::make_address(Address->Ip),
+                               Address->Port);
+  try {
+    Acceptor.open(Endpoint.protocol());
+    Acceptor.set_option(tcp::acceptor::reuse_address(true));
+    Acceptor.bind(Endpoint);
+    Acceptor.listen(1024);
+  } catch (const boost::system::system_error &Error) {
+    throw std::runtime_error("cannot listen on " + Options.Listen + ": " +
+                             Error.what());
+  }
+  accept();
+}
+
+void http_server::state::accept() {
+  if (Open.size() >= Options.MaxConnections) {
+    Accepting = false;
+    return;
+  }
+  Accepting = true;
+  Acceptor.async_accept([Weak = weak_from_this()](const error_code &Error,
+                                                  tcp::socket Socket) {
+    const auto Self = Weak.lock();
+    if (!Self || Error == asio::error::operation_aborted)
+      return;
+    if (Error) {
+      // Out of descriptors: the next attempt waits for some to be freed.
+      asio::post(Self->Acceptor.get_executor(), [] {});
+      auto Timer = std::make_shared<timer_handle>();
+      *Timer = Self->Loop.after(AcceptRetryDelay, [Self, Timer] {
+        Timer->reset();
+        Self->accept();
+      });
+      return;
+    }
+    std::make_shared<server_connection_state>(Self, std::move(Socket))
+        ->start();
+    Self->accept();
+  });
+}
+
+http_server::http_server(event_loop &Loop, http_server_options Options)
+    : State(std::make_shared<state>(Loop, std::move(Options))) {
+  State->listen();
+}
+
+http_server::~http_server() {
+  error_code Ignored;
+  State->Acceptor.close(Ignored);
+  const auto Open = State->Open;
+  for (server_connection_state *Connection : Open)
+    Connection->close();
+}
+
+void http_server::setLimits(const http_server_limits &Limits) {
+  State->Options.Limits = Limits;
+}
+
+void http_server::drain(milliseconds IdleFor) {
+  State->CloseIdleAfter = IdleFor;
+  const auto Open = State->Open;
+  for (server_connection_state *Connection : Open)
+    Connection->closeWhenIdle(IdleFor);
+}
+
+size_t http_server::requestsInFlight() const { return State->InFlight; }
+
+size_t http_server::connections() const { return State->Open.size(); }
+
+} // namespace cardamom
--- /dev/null
+++ b/jobs/inner_paths.h
@@ -0,0 +1,21 @@
+/// \file
+/// Calls between gateways.
+
+#ifndef CARDAMOM_JOBS_INNER_PATHS_H
+#define CARDAMOM_JOBS_INNER_PATHS_H
+
+#include <string_view>
+
+namespace cardamom {
+
+/// GET ?pool=P: 200 while the process schedules the jobs of the pool.
+inline constexpr std::string_view InnerAlivePath = "/inner/alive";
+/// GET ?pool=P&job=J&after=N&wait_ms=W: a page of results; 404 when the
+/// scheduler does not have the job.
+inline constexpr std::string_view InnerResultsPath = "/inner/results";
+/// POST ?pool=P&job=J: the job has been ended in the store.
+inline constexpr std::string_view InnerEndPath = "/inner/end";
+
+} // namespace cardamom
+
+#endif // CARDAMOM_JOBS_INNER_PATHS_H
--- /dev/null
+++ b/jobs/item_run.cpp
@@ -0,0 +1,122 @@
+#include "jobs/item_run.h"
+
+#include "gateway/replica_directory.h"
+#include "http/event_loop.h"
+
+namespace cardamom {
+
+static constexpr unsigned StatusOk = 200;
+static constexpr unsigned StatusUnprocessable = 422;
+
+std::string_view toString(item_run_outcome Outcome) {
+  switch (Outcome) {
+  case item_run_outcome::Complete:
+    return "complete";
+  case item_run_outcome::Refused:
+    return "refused";
+  case item_run_outcome::Misdirected:
+    return "misdirected";
+  case item_run_outcome::Failed:
+    return "failed";
+  case item_run_outcome::Impossible:
+    return "impossible";
+  case item_run_outcome::TooOld:
+    return "too_old";
+  case item_run_outcome::Broken:
+    break;
+  }
+  return "broken";
+}
+
+item_run::item_run(item_run_options Options, const upstream_call &Call,
+                   const replica &Replica, item_text &Text, time_point Now,
+                   std::function<void(item_run_end)> OnEnd)
+    : Options(std::move(Options)), RequestId(Call.RequestId),
+      ReplicaId(Replica.Id), Text(Text), OnEnd(std::move(OnEnd)),
+      Parser(std::string(this->Options.EventVersionField),
+             [this](const stream_event &Event) { onEvent(Event); }),
+      StartedAt(Now), ProgressAt(Now) {
+  this->Call = this->Options.Client.send(
+      Replica.Address, this->Options.Protocol.Encode(Call),
+      {.OnHead = [this](const http_response &Response) { onHead(Response); },
+       .OnBody =
+           [this](std::string_view Data) {
+             if (Streaming && !Ended)
+               Parser.feed(Data);
+           },
+       .OnEnd = [this](const call_end &End) { onEnd(End); }});
+}
+
+void item_run::onHead(const http_response &Response) {
+  const upstream_head Head = Options.Protocol.Decode(Response);
+  if (Head.Load && Options.OnLoad)
+    Options.OnLoad(*Head.Load);
+  if (Head.RequestId != RequestId)
+    return end(item_run_outcome::Broken, "answer to another request");
+  const std::string Status = "status " + std::to_string(Head.Status);
+  if (Head.WrongReplica)
+    return end(item_run_outcome::Misdirected, Status);
+  if (Head.NotRun)
+    return end(item_run_outcome::Refused, Status);
+  if (Head.Status == StatusUnprocessable)
+    return end(item_run_outcome::Impossible, Status);
+  if (Head.Status != StatusOk)
+    return end(item_run_outcome::Failed, Status);
+  if (Head.Encoded || Head.Signature.empty())
+    return end(item_run_outcome::Broken, "unsigned or encoded answer");
+  if (!Head.WeightVersion)
+    return end(item_run_outcome::Broken, "answer without a weight version");
+  Version = Head.WeightVersion;
+  if (Options.OnVersion)
+    Options.OnVersion(*Version);
+  if (*Version < Options.MinVersion)
+    return end(item_run_outcome::TooOld, "version " + std::to_string(*Version));
+  Streaming = true;
+}
+
+void item_run::onEvent(const stream_event &Event) {
+  if (Ended)
+    return;
+  if (Event.Version) {
+    Version = Event.Version;
+    if (Options.OnVersion)
+      Options.OnVersion(*Version);
+  }
+  if (!Event.Number ||
+      (Text.LastEvent && *Event.Number != *Text.LastEvent + 1))
+    return end(item_run_outcome::Broken, "event out of order");
+  const bool OtherVersion =
+      !Text.Versions.empty() && !Text.Versions.contains(*Version);
+  if (*Version < Options.MinVersion || (Options.SingleVersion && OtherVersion))
+    return end(item_run_outcome::TooOld, "version " + std::to_string(*Version));
+  if (Text.Events > 0)
+    Text.Text += '\n';
+  Text.Text += Event.Data;
+  Text.LastEvent = Event.Number;
+  Text.Versions.insert(*Version);
+  ++Text.Events;
+  ++Events;
+  ProgressAt = event_loop::now();
+  if (!FirstEventAt)
+    FirstEventAt = ProgressAt;
+}
+
+void item_run::onEnd(const call_end &End) {
+  if (Ended)
+    return;
+  if (End.Result == call_result::Complete && Streaming && Parser.atBoundary() &&
+      Text.Events > 0)
+    return end(item_run_outcome::Complete, {});
+  end(item_run_outcome::Broken,
+      std::string(toString(End.Result)) + ": " + End.Detail);
+}
+
+void item_run::end(item_run_outcome Outcome, std::string Detail) {
+  if (Ended)
+    return;
+  Ended = true;
+  const auto Hook = std::move(OnEnd);
+  Hook({.Outcome = Outcome, .Detail = std::move(Detail)});
+}
+
+} // namespace cardamom
--- /dev/null
+++ b/jobs/item_run.h
@@ -0,0 +1,117 @@
+/// \file
+/// One run of an item on one replica.
+///
+/// Use:
+///   item_run Run({...}, Item, Replica, [](item_run_end End) { ... });
+///   // destroying the run closes its connection, and the replica stops
+///
+/// Checks that the answer belongs to the item, that events come in order
+/// without gaps, and that each is labelled with the version of the weights
+/// that made it.
+
+#ifndef CARDAMOM_JOBS_ITEM_RUN_H
+#define CARDAMOM_JOBS_ITEM_RUN_H
+
+#include "gateway/upstream_call.h"
+#include "http/http_client.h"
+#include "jobs/event_parser.h"
+
+#include <cstdint>
+#include <functional>
+#include <memory>
+#include <optional>
+#include <set>
+#include <string>
+
+namespace cardamom {
+
+struct replica;
+
+/// What there is of an item's text, over all of its runs.
+struct item_text {
+  std::string Text;
+  /// Number of the last event in Text.
+  std::optional<uint64_t> LastEvent;
+  uint64_t Events = 0;
+  std::set<uint64_t> Versions;
+};
+
+enum class item_run_outcome {
+  /// The text is complete.
+  Complete,
+  /// The replica has not run it and is free to refuse.
+  Refused,
+  /// The replica answers for another identity or version.
+  Misdirected,
+  /// The run failed; counts against the attempts.
+  Failed,
+  /// The item can never be done.
+  Impossible,
+  /// The stream ended early or was not valid; the text so far holds.
+  Broken,
+  /// The weights are older than the job allows.
+  TooOld,
+};
+
+std::string_view toString(item_run_outcome Outcome);
+
+struct item_run_end {
+  item_run_outcome Outcome = item_run_outcome::Broken;
+  std::string Detail;
+};
+
+struct item_run_options {
+  http_client &Client;
+  const upstream_protocol &Protocol;
+  std::string_view EventVersionField;
+  uint64_t MinVersion = 0;
+  /// Version that all of the text must have, when some exists.
+  bool SingleVersion = false;
+  /// Called with the version that the replica shows at the start of its
+  /// answer.
+  std::function<void(uint64_t)> OnVersion;
+  std::function<void(const load_report &)> OnLoad;
+};
+
+class item_run {
+public:
+  /// Text must outlive the run. OnEnd is called once, from the loop.
+  item_run(item_run_options Options, const upstream_call &Call,
+           const replica &Replica, item_text &Text, time_point Now,
+           std::function<void(item_run_end)> OnEnd);
+
+  [[nodiscard]] time_point startedAt() const { return StartedAt; }
+  /// Time of the last event, or of the start.
+  [[nodiscard]] time_point progressAt() const { return ProgressAt; }
+  [[nodiscard]] std::optional<time_point> firstEventAt() const {
+    return FirstEventAt;
+  }
+  /// Events of this run alone.
+  [[nodiscard]] uint64_t events() const { return Events; }
+  [[nodiscard]] const std::string &replicaId() const { return ReplicaId; }
+
+private:
+  void onHead(const http_response &Response);
+  void onEvent(const stream_event &Event);
+  void onEnd(const call_end &End);
+  void end(item_run_outcome Outcome, std::string Detail);
+
+  item_run_options Options;
+  std::string RequestId;
+  std::string ReplicaId;
+  item_text &Text;
+  std::function<void(item_run_end)> OnEnd;
+  event_parser Parser;
+  time_point StartedAt;
+  time_point ProgressAt;
+  std::optional<time_point> FirstEventAt;
+  uint64_t Events = 0;
+  std::optional<uint64_t> Version;
+  bool Streaming = false;
+  bool Ended = false;
+  call_handle Call;
+};
+
+} // namespace cardamom
+
+#endif // CARDAMOM_JOBS_ITEM_RUN_H
--- /dev/null
+++ b/jobs/job.h
@@ -0,0 +1,70 @@
+/// \file
+/// A trainer's batch job: many items that are run, scored and listed.
+
+#ifndef CARDAMOM_JOBS_JOB_H
+#define CARDAMOM_JOBS_JOB_H
+
+#include "base/time.h"
+#include "http/http_message.h"
+
+#include <cstdint>
+#include <optional>
+#include <string>
+#include <vector>
+
+namespace cardamom {
+
+/// The call that scores the finished text of an item.
+struct scoring_call {
+  std::string RequestId;
+  std::string Host;
+  std::string Path;
+  std::string Body;
+};
+
+struct job_item {
+  std::string Id;
+  std::string Path;
+  header_list Headers;
+  std::string Body;
+  /// Items of one group share their prompt.
+  std::string Group;
+  /// Prompt tokens plus the largest number of output tokens.
+  uint64_t Tokens = 0;
+  /// The client's estimate of the output tokens; 0 = none.
+  uint64_t ExpectedTokens = 0;
+  std::optional<scoring_call> Scoring;
+};
+
+struct job {
+  std::string Id;
+  std::string Host;
+  /// Target of the submission; decides the route.
+  std::string Target;
+  /// Unix milliseconds of the first submission.
+  uint64_t SubmittedAtMs = 0;
+  std::string Model;
+  uint64_t Step = 0;
+  /// Oldest version of the weights that may generate its tokens.
+  uint64_t MinVersion = 0;
+  /// Complete groups that the trainer waits for; 0 = all.
+  uint64_t TargetGroups = 0;
+  std::vector<job_item> Items;
+};
+
+/// What is listed for one item. Immutable once listed.
+struct item_result {
+  std::string ItemId;
+  /// False = given up.
+  bool Completed = false;
+  /// Data of all events, joined by line feeds.
+  std::string Text;
+  /// Versions of the weights that generated an event of the text, ascending.
+  std::vector<uint64_t> Versions;
+  /// Signature of the answer to the scoring call.
+  std::string Score;
+};
+
+} // namespace cardamom
+
+#endif // CARDAMOM_JOBS_JOB_H
--- /dev/null
+++ b/jobs/job_archive.h
@@ -0,0 +1,75 @@
+/// \file
+/// Jobs as the store has them, for gateways that do not schedule them.
+///
+/// Use:
+///   job_archive Archive({...});
+///   Archive.read(Call, [](archive_reply Reply) { ... });
+///
+/// Batches of results never change, so each is fetched once. Keeps the jobs
+/// read last, up to a number of bytes.
+
+#ifndef CARDAMOM_JOBS_JOB_ARCHIVE_H
+#define CARDAMOM_JOBS_JOB_ARCHIVE_H
+
+#include "gateway/protocols.h"
+#include "jobs/result_log.h"
+
+#include <functional>
+#include <list>
+#include <map>
+#include <memory>
+#include <string>
+
+namespace cardamom {
+
+enum class archive_status { Found, NotFound, Unavailable };
+
+struct archive_reply {
+  archive_status Status = archive_status::Unavailable;
+  /// Page of results, or body of the item.
+  std::string Body;
+};
+
+struct job_archive_options {
+  event_loop &Loop;
+  object_link &Link;
+  const gateway_protocols &Protocols;
+  std::string JobKind;
+  std::string ResultKind;
+  size_t MaxBytes = size_t(24) << 20;
+  size_t MaxPageBytes = size_t(900) << 10;
+};
+
+class job_archive {
+public:
+  explicit job_archive(job_archive_options Options);
+
+  /// A page from Call.After on, without waiting for further results.
+  void read(const job_call &Call, std::function<void(archive_reply)> Done);
+  void itemBody(const job_call &Call, std::function<void(archive_reply)> Done);
+
+private:
+  struct entry {
+    job Job;
+    result_log Log;
+    size_t Bytes = 0;
+  };
+  using entry_ptr = std::shared_ptr<entry>;
+
+  void find(const std::string &JobId,
+            std::function<void(archive_status, entry_ptr)> Done);
+  void fetchResults(const entry_ptr &Entry, uint64_t After,
+                    std::function<void(archive_reply)> Done);
+  void keep(const entry_ptr &Entry);
+  [[nodiscard]] std::string page(const entry &Entry, uint64_t After) const;
+
+  job_archive_options Options;
+  std::map<std::string, entry_ptr, std::less<>> Entries;
+  /// Ids, the one used last at the end.
+  std::list<std::string> Order;
+  std::shared_ptr<bool> Alive = std::make_shared<bool>(true);
+};
+
+} // namespace cardamom
+
+#endif // CARDAMOM_JOBS_JOB_ARCHIVE_H
--- /dev/null
+++ b/jobs/job_scheduler.cpp
@@ -0,0 +1,715 @@
+#include "jobs/job_scheduler.h"
+
+#include "base/log.h"
+#include "base/metrics.h"
+#include "gateway/plain_caller.h"
+#include "http/event_loop.h"
+#include "jobs/item_run.h"
+#include "jobs/result_page.h"
+
+#include <algorithm>
+#include <vector>
+
+namespace cardamom {
+
+/// How often runs are checked for stalls and items for their time limit.
+static constexpr milliseconds TickInterval{250};
+/// Pause before a failed item or scoring call is tried again.
+static constexpr milliseconds FailurePause{50};
+/// Output tokens of an item without an estimate, until some have finished.
+static constexpr double InitialMeanTokens = 500;
+/// Weight of a finished item in the mean of output tokens.
+static constexpr double MeanGain = 0.05;
+/// A scoring call gets this multiple of its route's target, and at least the
+/// minimum.
+static constexpr int ScoringPatience = 4;
+static constexpr milliseconds MinScoringPatience{600};
+/// Runs with fewer events say little about a replica's speed.
+static constexpr uint64_t MinEventsForSpeed = 3;
+/// Wall clocks of two VMs may differ by about this much.
+static constexpr uint64_t ClockSlackMs = 500;
+
+enum class item_phase { Waiting, Running, Scoring, Done };
+
+struct job_scheduler::item_state {
+  job_state *Job = nullptr;
+  const job_item *Item = nullptr;
+  item_phase Phase = item_phase::Waiting;
+  item_text Text;
+  unsigned Failures = 0;
+  unsigned ScoringFailures = 0;
+  bool Spare = false;
+  time_point NotBefore{};
+  std::string LastReplica;
+  std::unique_ptr<item_run> Run;
+  plain_run_ptr Scoring;
+  timer_handle Retry;
+};
+
+struct job_scheduler::reader {
+  uint64_t After = 0;
+  std::function<void(bool, std::string)> Done;
+  timer_handle Timer;
+};
+
+struct job_scheduler::job_state {
+  explicit job_state(job Job) : Job(std::move(Job)), Log(this->Job.Id) {}
+
+  job Job;
+  time_point AddedAt;
+  time_point DueAt;
+  uint64_t ExpiresAtMs = 0;
+  unsigned MaxAttempts = 1;
+  bool SingleVersion = false;
+  bool Loaded = false;
+  bool Ended = false;
+  bool Writing = false;
+  result_log Log;
+  std::vector<std::unique_ptr<item_state>> Items;
+  std::vector<std::shared_ptr<reader>> Readers;
+  timer_handle FlushTimer;
+};
+
+job_scheduler::job_scheduler(job_scheduler_options Options)
+    : Options(std::move(Options)), Placement({}),
+      MeanTokens(InitialMeanTokens) {
+  tick();
+}
+
+job_scheduler::~job_scheduler() {
+  for (const auto &[Id, Job] : Jobs)
+    for (const auto &Reader : Job->Readers)
+      Reader->Done(false, {});
+}
+
+std::function<void(std::function<void()>)> job_scheduler::guard() {
+  return [Weak = std::weak_ptr<bool>(Alive)](const std::function<void()> &Do) {
+    if (!Weak.expired())
+      Do();
+  };
+}
+
+bool job_scheduler::knows(std::string_view Id) const {
+  return Jobs.find(Id) != Jobs.end();
+}
+
+size_t job_scheduler::openJobs() const {
+  return size_t(std::count_if(Jobs.begin(), Jobs.end(), [](const auto &Entry) {
+    const job_state &Job = *Entry.second;
+    return !Job.Ended && Job.Log.listed().size() < Job.Items.size();
+  }));
+}
+
+void job_scheduler::addJob(job NewJob, bool HasResults) {
+  if (knows(NewJob.Id))
+    return;
+  auto Job = std::make_shared<job_state>(std::move(NewJob));
+  const time_point Now = event_loop::now();
+  const route *Route = Options.FindRoute(Job->Job.Host, Job->Job.Target);
+  const uint64_t AgeMs =
+      Options.UnixNow() - std::min(Options.UnixNow(), Job->Job.SubmittedAtMs);
+  Job->AddedAt = Now;
+  Job->DueAt = Now - milliseconds(AgeMs);
+  if (Route) {
+    Job->DueAt += Route->Due;
+    Job->MaxAttempts = Route->MaxAttempts;
+    Job->SingleVersion = Route->SingleVersion;
+    if (Route->ItemTtl.count() > 0)
+      Job->ExpiresAtMs = Job->Job.SubmittedAtMs +
+                         uint64_t(Route->ItemTtl.count()) + ClockSlackMs;
+  }
+  for (const job_item &Item : Job->Job.Items) {
+    auto State = std::make_unique<item_state>();
+    State->Job = Job.get();
+    State->Item = &Item;
+    Job->Items.push_back(std::move(State));
+  }
+  markSpareGroups(*Job);
+  Jobs[Job->Job.Id] = Job;
+  logState("job_added", {{"job", Job->Job.Id},
+                         {"model", Job->Job.Model},
+                         {"step", std::to_string(Job->Job.Step)},
+                         {"items", std::to_string(Job->Items.size())},
+                         {"min_version", std::to_string(Job->Job.MinVersion)},
+                         {"age_ms", std::to_string(AgeMs)}});
+  if (HasResults) {
+    loadResults(Job);
+    return;
+  }
+  Job->Loaded = true;
+  scheduleSoon();
+}
+
+void job_scheduler::loadResults(const std::shared_ptr<job_state> &Job) {
+  Options.Link.call(
+      {.Op = object_op::Get,
+       .Kind = Options.ResultKind,
+       .Name = result_log::batchName(Job->Job.Id, Job->Log.batches())},
+      [this, Guard = guard(), Job](const object_reply &Reply) {
+        Guard([&] {
+          if (Reply.Outcome == object_outcome::Done && !Reply.Objects.empty()) {
+            onListed(Job,
+                     result_log::decodeBatch(Reply.Objects.front().Spec));
+            loadResults(Job);
+            return;
+          }
+          if (Reply.Outcome != object_outcome::NotFound) {
+            Job->FlushTimer = Options.Loop.after(FailurePause, [this, Job] {
+              Options.Link.whenReachable([this, Guard = guard(), Job] {
+                Guard([&] { loadResults(Job); });
+              });
+            });
+            return;
+          }
+          Job->Loaded = true;
+          logState("job_resumed",
+                   {{"job", Job->Job.Id},
+                    {"listed", std::to_string(Job->Log.listed().size())}});
+          serveReaders(*Job);
+          scheduleSoon();
+        });
+      });
+}
+
+/// The trainer waits for TargetGroups groups. Those that are expected to take
+/// longest are left for last, but for groups that returned from an earlier
+/// job, which it always waits for.
+void job_scheduler::markSpareGroups(job_state &Job) {
+  std::map<std::string, double> Longest;
+  for (const auto &Item : Job.Items) {
+    double &Tokens = Longest[Item->Item->Group];
+    Tokens = std::max(Tokens, expectedTokens(*Item));
+  }
+  const size_t Wanted =
+      Job.Job.TargetGroups == 0 ? Longest.size() : Job.Job.TargetGroups;
+  std::vector<std::pair<double, std::string>> Order;
+  for (const auto &[Group, Tokens] : Longest)
+    if (!SeenGroups.contains(Group))
+      Order.emplace_back(Tokens, Group);
+  std::sort(Order.rbegin(), Order.rend());
+  const size_t Spare = std::min(
+      Order.size(), Longest.size() - std::min(Longest.size(), Wanted));
+  std::set<std::string> SpareGroups;
+  for (size_t I = 0; I < Spare; ++I)
+    SpareGroups.insert(Order[I].second);
+  for (const auto &Item : Job.Items) {
+    Item->Spare = SpareGroups.contains(Item->Item->Group);
+    SeenGroups.insert(Item->Item->Group);
+  }
+}
+
+double job_scheduler::tokensPerEvent() const {
+  const service *Service = Options.FindService();
+  return Service ? Service->TokensPerEvent : 1;
+}
+
+double job_scheduler::expectedTokens(const item_state &Item) const {
+  const double Expected = Item.Item->ExpectedTokens > 0
+                              ? double(Item.Item->ExpectedTokens)
+                              : MeanTokens;
+  return Expected;
+}
+
+void job_scheduler::scheduleSoon() {
+  if (SchedulePending)
+    return;
+  SchedulePending = true;
+  Options.Loop.post([this, Guard = guard()] {
+    Guard([&] {
+      SchedulePending = false;
+      schedule();
+    });
+  });
+}
+
+unsigned job_scheduler::runningOn(std::string_view Replica) const {
+  const auto It = Running.find(Replica);
+  return It == Running.end() ? 0 : It->second;
+}
+
+void job_scheduler::schedule() {
+  const time_point Now = event_loop::now();
+  std::vector<item_state *> Candidates;
+  std::vector<waiting_item> Waiting;
+  for (const auto &[Id, Job] : Jobs) {
+    if (Job->Ended || !Job->Loaded)
+      continue;
+    for (const auto &Item : Job->Items) {
+      if (Item->Phase != item_phase::Waiting || Now < Item->NotBefore)
+        continue;
+      const double Done = double(Item->Text.Events) * tokensPerEvent();
+      Waiting.push_back(
+          {.Index = Candidates.size(),
+           .Model = Job->Job.Model,
+           .MinVersion = Job->Job.MinVersion,
+           .RemainingTokens =
+               std::max(expectedTokens(*Item) - Done, tokensPerEvent()),
+           .Spare = Item->Spare,
+           .DueAt = Job->DueAt,
+           .Avoid = Item->LastReplica});
+      Candidates.push_back(Item.get());
+    }
+  }
+  if (Waiting.empty())
+    return;
+  const std::vector<const replica *> Usable =
+      Options.Directory.usable(Options.Pool, Now);
+  std::vector<replica_capacity> Capacity;
+  for (const replica *Replica : Usable) {
+    const unsigned Busy = runningOn(Replica->Id);
+    const auto Refused = RefusedUntil.find(Replica->Id);
+    const bool Paused = Refused != RefusedUntil.end() && Now < Refused->second;
+    replica_capacity Entry{
+        .Id = Replica->Id,
+        .FreeSlots = Paused || Busy >= Replica->Slots ? 0
+                                                      : Replica->Slots - Busy,
+        .Slots = std::max(1U, Replica->Slots),
+        .Near = Replica->FailureDomain == Options.FailureDomain,
+        .Versions = {}};
+    for (const auto &[Model, Version] : Replica->Versions)
+      if (!Options.ChangingWeights(Replica->Id, Model))
+        Entry.Versions[Model] = Version;
+    Capacity.push_back(std::move(Entry));
+  }
+  for (const placed_item &Placed :
+       Placement.place(std::move(Waiting), Capacity))
+    startItem(*Candidates[Placed.Index], *Usable[Placed.Replica]);
+}
+
+void job_scheduler::startItem(item_state &Item, const replica &Replica) {
+  const job &Job = Item.Job->Job;
+  upstream_call Call{.RequestId = Item.Item->Id,
+                     .Method = "POST",
+                     .Target = Item.Item->Path,
+                     .Host = Job.Host,
+                     .Headers = Item.Item->Headers,
+                     .Body = Item.Item->Body,
+                     .ReplicaId = Replica.Id,
+                     .ResumeAfter = Item.Text.LastEvent};
+  const std::string ReplicaId = Replica.Id;
+  item_run_options RunOptions{
+      .Client = Options.Client,
+      .Protocol = Options.Protocols.Upstream,
+      .EventVersionField = Options.Protocols.EventVersionField,
+      .MinVersion = Job.MinVersion,
+      .SingleVersion = Item.Job->SingleVersion,
+      .OnVersion =
+          [this, ReplicaId, Model = Job.Model](uint64_t Version) {
+            Options.Directory.setVersion(ReplicaId, Model, Version);
+          },
+      .OnLoad =
+          [this, ReplicaId](const load_report &Load) {
+            Options.Directory.onLoad(ReplicaId, Load, event_loop::now());
+          }};
+  logState("item_started",
+           {{"job", Job.Id},
+            {"item", Item.Item->Id},
+            {"replica", ReplicaId},
+            {"running", std::to_string(runningOn(ReplicaId))},
+            {"resume", Item.Text.LastEvent
+                           ? std::to_string(*Item.Text.LastEvent)
+                           : "none"}});
+  Item.Phase = item_phase::Running;
+  Item.LastReplica = ReplicaId;
+  ++Running[ReplicaId];
+  metrics::get().counter("items_started_total").add();
+  // The run must not be destroyed from inside its own hook.
+  const std::weak_ptr<job_state> WeakJob = Jobs[Job.Id];
+  Item.Run = std::make_unique<item_run>(
+      std::move(RunOptions), Call, Replica, Item.Text, event_loop::now(),
+      [this, Guard = guard(), WeakJob, &Item](const item_run_end &End) {
+        Options.Loop.post([this, Guard, WeakJob, &Item, End] {
+          Guard([&] {
+            const auto Job = WeakJob.lock();
+            if (Job && !Job->Ended && Item.Phase == item_phase::Running)
+              onRunEnd(Item, End);
+          });
+        });
+      });
+}
+
+void job_scheduler::observeSpeed(const item_state &Item) {
+  const item_run &Run = *Item.Run;
+  if (Run.events() < MinEventsForSpeed || !Run.firstEventAt())
+    return;
+  const auto Elapsed = std::chrono::duration_cast<milliseconds>(
+      Run.progressAt() - *Run.firstEventAt());
+  Placement.onProgress(Run.replicaId(),
+                       double(Run.events() - 1) * tokensPerEvent(), Elapsed);
+}
+
+void job_scheduler::onRunEnd(item_state &Item, const item_run_end &End) {
+  const std::string ReplicaId = Item.Run->replicaId();
+  const time_point Now = event_loop::now();
+  observeSpeed(Item);
+  Item.Run.reset();
+  if (--Running[ReplicaId] == 0)
+    Running.erase(ReplicaId);
+  metrics::get()
+      .counter("item_runs_total", "outcome", toString(End.Outcome))
+      .add();
+  if (End.Outcome != item_run_outcome::Complete)
+    logState("item_run_ended",
+             {{"job", Item.Job->Job.Id},
+              {"item", Item.Item->Id},
+              {"replica", ReplicaId},
+              {"outcome", std::string(toString(End.Outcome))},
+              {"detail", End.Detail},
+              {"events", std::to_string(Item.Text.Events)}});
+  Item.Phase = item_phase::Waiting;
+  switch (End.Outcome) {
+  case item_run_outcome::Complete:
+    Options.Directory.onCallSucceeded(ReplicaId);
+    MeanTokens += MeanGain *
+                  (double(Item.Text.Events) * tokensPerEvent() - MeanTokens);
+    score(Item);
+    break;
+  case item_run_outcome::Refused:
+    RefusedUntil[ReplicaId] = Now + Options.RefusalPause;
+    break;
+  case item_run_outcome::Misdirected:
+  case item_run_outcome::Broken:
+    Options.Directory.onCallFailed(ReplicaId, Now);
+    break;
+  case item_run_outcome::TooOld:
+    // Text of two versions where one is wanted cannot be used.
+    if (Item.Job->SingleVersion)
+      Item.Text = {};
+    break;
+  case item_run_outcome::Failed:
+    if (++Item.Failures >= Item.Job->MaxAttempts)
+      giveUp(Item, "attempts");
+    else
+      retryLater(Item, FailurePause);
+    break;
+  case item_run_outcome::Impossible:
+    giveUp(Item, "unprocessable");
+    break;
+  }
+  scheduleSoon();
+}
+
+void job_scheduler::retryLater(item_state &Item, milliseconds Delay) {
+  Item.NotBefore = event_loop::now() + Delay;
+  Item.Retry =
+      Options.Loop.after(Delay + milliseconds(1), [this] { scheduleSoon(); });
+}
+
+void job_scheduler::score(item_state &Item) {
+  if (!Item.Item->Scoring) {
+    complete(Item, {});
+    return;
+  }
+  Item.Phase = item_phase::Scoring;
+  const scoring_call &Scoring = *Item.Item->Scoring;
+  const route *Route = Options.FindRoute(Scoring.Host, Scoring.Path);
+  const std::weak_ptr<job_state> WeakJob = Jobs[Item.Job->Job.Id];
+  if (!Route) {
+    // The configuration may bring the route back until the item expires.
+    logState("scoring_route_missing",
+             {{"item", Item.Item->Id}, {"host", Scoring.Host}});
+    Item.Retry = Options.Loop.after(milliseconds(500),
+                                    [this, &Item] { score(Item); });
+    return;
+  }
+  const time_point Now = event_loop::now();
+  Item.Scoring = Options.Caller.start(
+      {.Call = {.RequestId = Scoring.RequestId,
+                .Method = "POST",
+                .Target = Scoring.Path,
+                .Host = Scoring.Host,
+                .Headers = {},
+                .Body = Scoring.Body},
+       .Service = Route->Services.front().Service,
+       .Idempotent = true,
+       .MaxAttempts = 1,
+       .Target = Route->TargetLatency,
+       .ReceivedAt = Now,
+       .Deadline = Now + std::max(Route->TargetLatency * ScoringPatience,
+                                  MinScoringPatience)},
+      [this, Guard = guard(), WeakJob, &Item](const plain_answer &Answer) {
+        Guard([&] {
+          const auto Job = WeakJob.lock();
+          if (Job && !Job->Ended && Item.Phase == item_phase::Scoring)
+            onScored(Item, Answer);
+        });
+      });
+}
+
+void job_scheduler::onScored(item_state &Item, const plain_answer &Answer) {
+  // Called from the run itself, which must outlive the call.
+  const plain_run_ptr Finished = std::move(Item.Scoring);
+  if (Answer.FromReplica && Answer.Head.Status / 100 == 2) {
+    complete(Item, Answer.Head.Signature);
+    return;
+  }
+  logState("scoring_failed",
+           {{"item", Item.Item->Id},
+            {"request", Item.Item->Scoring->RequestId},
+            {"status", std::to_string(Answer.Head.Status)},
+            {"reason", Answer.Verdict.Reason}});
+  const route *Route =
+      Options.FindRoute(Item.Item->Scoring->Host, Item.Item->Scoring->Path);
+  const unsigned MaxFailures = Route ? Route->MaxAttempts : 1;
+  if (Answer.FromReplica && ++Item.ScoringFailures >= MaxFailures) {
+    giveUp(Item, "scoring");
+    return;
+  }
+  Item.Retry =
+      Options.Loop.after(FailurePause, [this, &Item] { score(Item); });
+}
+
+void job_scheduler::complete(item_state &Item, std::string Signature) {
+  item_result Result{.ItemId = Item.Item->Id,
+                     .Completed = true,
+                     .Text = std::move(Item.Text.Text),
+                     .Versions = {Item.Text.Versions.begin(),
+                                  Item.Text.Versions.end()},
+                     .Score = std::move(Signature)};
+  queueResult(Item, std::move(Result));
+}
+
+void job_scheduler::giveUp(item_state &Item, std::string_view Reason) {
+  logState("item_given_up", {{"job", Item.Job->Job.Id},
+                             {"item", Item.Item->Id},
+                             {"reason", std::string(Reason)}});
+  metrics::get().counter("items_given_up_total", "reason", Reason).add();
+  queueResult(Item, {.ItemId = Item.Item->Id,
+                     .Completed = false,
+                     .Text = {},
+                     .Versions = {},
+                     .Score = {}});
+}
+
+void job_scheduler::queueResult(item_state &Item, item_result Result) {
+  Item.Phase = item_phase::Done;
+  Item.Run.reset();
+  Item.Retry.reset();
+  const auto Job = Jobs.find(Item.Job->Job.Id)->second;
+  Job->Log.queue(std::move(Result));
+  const bool Last =
+      Job->Log.listed().size() + Job->Log.queued() == Job->Items.size();
+  if (Last)
+    flush(Job);
+  else
+    flushSoon(Job);
+}
+
+void job_scheduler::flushSoon(const std::shared_ptr<job_state> &Job) {
+  if (Job->FlushTimer || Job->Writing)
+    return;
+  Job->FlushTimer = Options.Loop.after(Options.BatchDelay, [this, Job] {
+    Job->FlushTimer.reset();
+    flush(Job);
+  });
+}
+
+void job_scheduler::flush(const std::shared_ptr<job_state> &Job) {
+  if (Job->Writing || Job->Ended)
+    return;
+  std::vector<item_result> Batch = Job->Log.nextBatch(Options.MaxBatchBytes);
+  if (Batch.empty())
+    return;
+  Job->Writing = true;
+  write(Job, std::move(Batch), Options.NewId());
+}
+
+void job_scheduler::write(const std::shared_ptr<job_state> &Job,
+                          std::vector<item_result> Batch,
+                          const std::string &WriteId) {
+  object_request Request{
+      .Op = object_op::Create,
+      .Kind = Options.ResultKind,
+      .Name = result_log::batchName(Job->Job.Id, Job->Log.batches()),
+      .Value = result_log::encodeBatch(Batch, WriteId)};
+  Options.Link.call(Request, [this, Guard = guard(), Job,
+                              Batch = std::move(Batch),
+                              WriteId](const object_reply &Reply) mutable {
+    Guard([&] {
+      if (Reply.Outcome == object_outcome::Done) {
+        Job->Writing = false;
+        onListed(Job, std::move(Batch));
+        return;
+      }
+      if (Reply.Outcome == object_outcome::Conflict &&
+          !Reply.Objects.empty()) {
+        // Either an earlier try of this write was done and its answer lost,
+        // or another scheduler has written this batch.
+        Job->Writing = false;
+        const nlohmann::json &Spec = Reply.Objects.front().Spec;
+        if (result_log::writeIdOf(Spec) != WriteId)
+          logState("results_of_other_writer", {{"job", Job->Job.Id}});
+        onListed(Job, result_log::decodeBatch(Spec));
+        return;
+      }
+      logState("results_write_failed",
+               {{"job", Job->Job.Id},
+                {"outcome", std::string(toString(Reply.Outcome))},
+                {"detail", Reply.Detail}});
+      Job->FlushTimer = Options.Loop.after(
+          FailurePause,
+          [this, Job, Batch = std::move(Batch), WriteId]() mutable {
+            Options.Link.whenReachable([this, Guard = guard(), Job,
+                                        Batch = std::move(Batch),
+                                        WriteId]() mutable {
+              Guard([&] {
+                Job->FlushTimer.reset();
+                write(Job, std::move(Batch), WriteId);
+              });
+            });
+          });
+    });
+  });
+}
+
+void job_scheduler::onListed(const std::shared_ptr<job_state> &Job,
+                             std::vector<item_result> Batch) {
+  const size_t Count = Batch.size();
+  Job->Log.append(std::move(Batch));
+  dropListedItems(*Job);
+  if (Job->Loaded)
+    logState("results_listed",
+             {{"job", Job->Job.Id},
+              {"results", std::to_string(Count)},
+              {"listed", std::to_string(Job->Log.listed().size())},
+              {"age_ms", std::to_string(Options.UnixNow() -
+                                        Job->Job.SubmittedAtMs)}});
+  serveReaders(*Job);
+  if (Job->Log.queued() > 0)
+    flushSoon(Job);
+}
+
+/// Items that another scheduler has listed need no run of ours.
+void job_scheduler::dropListedItems(job_state &Job) {
+  for (const auto &Item : Job.Items) {
+    if (Item->Phase == item_phase::Done ||
+        !Job.Log.isListed(Item->Item->Id))
+      continue;
+    if (Item->Run && --Running[Item->Run->replicaId()] == 0)
+      Running.erase(Item->Run->replicaId());
+    Item->Run.reset();
+    Item->Scoring.reset();
+    Item->Retry.reset();
+    Item->Phase = item_phase::Done;
+  }
+}
+
+void job_scheduler::endJob(std::string_view Id) {
+  const auto It = Jobs.find(Id);
+  if (It == Jobs.end() || It->second->Ended)
+    return;
+  const std::shared_ptr<job_state> Job = It->second;
+  Job->Ended = true;
+  unsigned Stopped = 0;
+  for (const auto &Item : Job->Items) {
+    if (Item->Run) {
+      ++Stopped;
+      observeSpeed(*Item);
+      if (--Running[Item->Run->replicaId()] == 0)
+        Running.erase(Item->Run->replicaId());
+    }
+    Item->Run.reset();
+    Item->Scoring.reset();
+    Item->Retry.reset();
+    Item->Phase = item_phase::Done;
+  }
+  logState("job_ended",
+           {{"job", Job->Job.Id},
+            {"listed", std::to_string(Job->Log.listed().size())},
+            {"items", std::to_string(Job->Items.size())},
+            {"stopped_runs", std::to_string(Stopped)}});
+  serveReaders(*Job);
+  scheduleSoon();
+}
+
+void job_scheduler::read(const job_call &Call,
+                         std::function<void(bool, std::string)> Done) {
+  const auto It = Jobs.find(Call.JobId);
+  if (It == Jobs.end()) {
+    Done(false, {});
+    return;
+  }
+  const std::shared_ptr<job_state> Job = It->second;
+  auto Reader = std::make_shared<reader>();
+  Reader->After = Call.After;
+  Reader->Done = std::move(Done);
+  Job->Readers.push_back(Reader);
+  // A reader whose time is over gets the page as it is then.
+  const std::weak_ptr<reader> Weak = Reader;
+  Reader->Timer = Options.Loop.after(
+      std::max(Call.Wait, milliseconds(Job->Loaded ? 0 : 1)),
+      [this, Job, Weak] {
+        const auto Self = Weak.lock();
+        if (!Self)
+          return;
+        std::erase(Job->Readers, Self);
+        Self->Done(Job->Loaded, page(*Job, Self->After));
+      });
+  serveReaders(*Job);
+}
+
+void job_scheduler::serveReaders(job_state &Job) {
+  if (!Job.Loaded)
+    return;
+  const size_t Listed = Job.Log.listed().size();
+  const bool NoMore = Job.Ended || Listed == Job.Items.size();
+  std::vector<std::shared_ptr<reader>> Ready;
+  std::erase_if(Job.Readers, [&](const std::shared_ptr<reader> &Reader) {
+    if (Reader->After >= Listed && !NoMore)
+      return false;
+    Ready.push_back(Reader);
+    return true;
+  });
+  for (const std::shared_ptr<reader> &Reader : Ready) {
+    Reader->Timer.reset();
+    Reader->Done(true, page(Job, Reader->After));
+  }
+}
+
+std::string job_scheduler::page(const job_state &Job, uint64_t After) const {
+  return encodePage(Job.Log.listed(), Job.Items.size(), After,
+                    Options.MaxPageBytes, Options.Protocols);
+}
+
+void job_scheduler::tick() {
+  TickTimer = Options.Loop.after(TickInterval, [this] {
+    checkRuns(event_loop::now());
+    expireItems();
+    scheduleSoon();
+    tick();
+  });
+}
+
+void job_scheduler::checkRuns(time_point Now) {
+  for (const auto &[Id, Job] : Jobs) {
+    if (Job->Ended)
+      continue;
+    for (const auto &Item : Job->Items) {
+      if (Item->Phase != item_phase::Running ||
+          Now - Item->Run->progressAt() < Options.StallTimeout)
+        continue;
+      onRunEnd(*Item, {.Outcome = item_run_outcome::Broken,
+                       .Detail = "no event in time"});
+    }
+  }
+}
+
+void job_scheduler::expireItems() {
+  const uint64_t Now = Options.UnixNow();
+  for (const auto &[Id, Job] : Jobs) {
+    if (Job->Ended || !Job->Loaded || Job->ExpiresAtMs == 0 ||
+        Now < Job->ExpiresAtMs)
+      continue;
+    for (const auto &Item : Job->Items) {
+      if (Item->Phase == item_phase::Done)
+        continue;
+      if (Item->Run && --Running[Item->Run->replicaId()] == 0)
+        Running.erase(Item->Run->replicaId());
+      Item->Run.reset();
+      Item->Scoring.reset();
+      giveUp(*Item, "expired");
+    }
+  }
+}
+
+} // namespace cardamom
--- /dev/null
+++ b/jobs/job_scheduler.h
@@ -0,0 +1,142 @@
+/// \file
+/// Runs the batch jobs of one pool of replicas: places items, follows their
+/// streams, has them scored, and lists their results.
+///
+/// Use:
+///   job_scheduler Scheduler({...});
+///   Scheduler.addJob(Job, /*HasResults=*/false);
+///   Scheduler.read(Call, [](bool Known, std::string Page) { ... });
+///   Scheduler.endJob(Id);
+///
+/// Results are listed once the store has acknowledged them, so that they
+/// survive this process. Two schedulers of one pool, as after a partition,
+/// waste work but cannot list an item twice (result_log). Runs on the loop's
+/// thread.
+
+#ifndef CARDAMOM_JOBS_JOB_SCHEDULER_H
+#define CARDAMOM_JOBS_JOB_SCHEDULER_H
+
+#include "gateway/protocols.h"
+#include "jobs/result_log.h"
+#include "policy/item_placement.h"
+
+#include <functional>
+#include <map>
+#include <memory>
+#include <set>
+#include <string>
+
+namespace cardamom {
+
+class event_loop;
+class http_client;
+class object_link;
+class plain_caller;
+class timer_state;
+struct item_run_end;
+struct plain_answer;
+
+struct job_scheduler_options {
+  event_loop &Loop;
+  http_client &Client;
+  replica_directory &Directory;
+  plain_caller &Caller;
+  object_link &Link;
+  const gateway_protocols &Protocols;
+  std::function<const route *(std::string_view Host, std::string_view Path)>
+      FindRoute;
+  /// Service of the pool; null while the configuration does not have it.
+  std::function<const service *()> FindService;
+  /// Service whose replicas the pool consists of.
+  std::string Pool;
+  std::string FailureDomain;
+  /// Kind of the objects that hold results.
+  std::string ResultKind;
+  /// Unix milliseconds.
+  std::function<uint64_t()> UnixNow;
+  /// Unique text for each call.
+  std::function<std::string()> NewId;
+  /// Whether the replica is changing the weights of the model.
+  std::function<bool(std::string_view Replica, std::string_view Model)>
+      ChangingWeights;
+  /// Results wait this long for others before they are written; each write is
+  /// a priced call, and readers come about twice a second.
+  milliseconds BatchDelay{100};
+  /// A run without an event for this long is taken for dead.
+  milliseconds StallTimeout{2000};
+  /// Pause of a replica that refused an item.
+  milliseconds RefusalPause{60};
+  size_t MaxBatchBytes = size_t(600) << 10;
+  size_t MaxPageBytes = size_t(900) << 10;
+};
+
+class job_scheduler {
+public:
+  explicit job_scheduler(job_scheduler_options Options);
+  ~job_scheduler();
+  job_scheduler(const job_scheduler &) = delete;
+  job_scheduler &operator=(const job_scheduler &) = delete;
+
+  /// HasResults: batches of results may exist already and are read first.
+  void addJob(job Job, bool HasResults);
+  void endJob(std::string_view Id);
+  [[nodiscard]] bool knows(std::string_view Id) const;
+  /// Answers at once, or when a result is listed or Call.Wait is over. Known
+  /// is false for a job that this scheduler does not have.
+  void read(const job_call &Call,
+            std::function<void(bool Known, std::string Page)> Done);
+  /// Runs what can run now; to be called when replicas have changed.
+  void scheduleSoon();
+  /// Items that run on the replica.
+  [[nodiscard]] unsigned runningOn(std::string_view Replica) const;
+  [[nodiscard]] size_t openJobs() const;
+
+private:
+  struct item_state;
+  struct job_state;
+  struct reader;
+
+  void loadResults(const std::shared_ptr<job_state> &Job);
+  void markSpareGroups(job_state &Job);
+  void schedule();
+  void startItem(item_state &Item, const replica &Replica);
+  void onRunEnd(item_state &Item, const item_run_end &End);
+  void retryLater(item_state &Item, milliseconds Delay);
+  void score(item_state &Item);
+  void onScored(item_state &Item, const plain_answer &Answer);
+  void giveUp(item_state &Item, std::string_view Reason);
+  void complete(item_state &Item, std::string Signature);
+  void queueResult(item_state &Item, item_result Result);
+  void flushSoon(const std::shared_ptr<job_state> &Job);
+  void flush(const std::shared_ptr<job_state> &Job);
+  void write(const std::shared_ptr<job_state> &Job,
+             std::vector<item_result> Batch, const std::string &WriteId);
+  void onListed(const std::shared_ptr<job_state> &Job,
+                std::vector<item_result> Batch);
+  void dropListedItems(job_state &Job);
+  void serveReaders(job_state &Job);
+  std::string page(const job_state &Job, uint64_t After) const;
+  void tick();
+  void checkRuns(time_point Now);
+  void expireItems();
+  void observeSpeed(const item_state &Item);
+  [[nodiscard]] double expectedTokens(const item_state &Item) const;
+  [[nodiscard]] double tokensPerEvent() const;
+  std::function<void(std::function<void()>)> guard();
+
+  job_scheduler_options Options;
+  item_placement Placement;
+  std::map<std::string, std::shared_ptr<job_state>, std::less<>> Jobs;
+  /// Groups of earlier jobs, to tell those that return.
+  std::set<std::string, std::less<>> SeenGroups;
+  std::map<std::string, unsigned, std::less<>> Running;
+  std::map<std::string, time_point, std::less<>> RefusedUntil;
+  double MeanTokens;
+  bool SchedulePending = false;
+  std::shared_ptr<timer_state> TickTimer;
+  std::shared_ptr<bool> Alive = std::make_shared<bool>(true);
+};
+
+} // namespace cardamom
+
+#endif // CARDAMOM_JOBS_JOB_SCHEDULER_H
--- /dev/null
+++ b/jobs/pool_role.cpp
@@ -0,0 +1,341 @@
+#include "jobs/pool_role.h"
+
+#include "base/log.h"
+#include "base/metrics.h"
+#include "http/event_loop.h"
+#include "http/http_client.h"
+#include "jobs/inner_paths.h"
+#include "jobs/job_document.h"
+
+#include <stdexcept>
+
+namespace cardamom {
+
+using nlohmann::json;
+
+static json encodeLease(const pool_lease_record &Record) {
+  return {{"holder", Record.Holder},
+          {"incarnation", Record.Incarnation},
+          {"address", Record.Address},
+          {"token", Record.Token}};
+}
+
+static pool_lease_record decodeLease(const stored_object &Object) {
+  pool_lease_record Record{.Revision = Object.Revision};
+  if (!Object.Spec.is_object())
+    return Record;
+  Record.Holder = Object.Spec.value("holder", "");
+  Record.Incarnation = Object.Spec.value("incarnation", "");
+  Record.Address = Object.Spec.value("address", "");
+  Record.Token = Object.Spec.value("token", uint64_t(0));
+  return Record;
+}
+
+pool_role::pool_role(pool_role_options Options)
+    : Options(std::move(Options)),
+      Lease({.Self = this->Options.Self,
+             .Incarnation = this->Options.Incarnation,
+             .Address = this->Options.InnerAddress,
+             .Length = this->Options.LeaseLength}) {
+  ask();
+}
+
+pool_role::~pool_role() = default;
+
+std::string pool_role::schedulerAddress() const {
+  return Lease.holds() ? std::string() : Lease.record().Address;
+}
+
+bool pool_role::serving(time_point Now) const {
+  const object_link &Link = Options.Scheduler.Link;
+  const bool HasStore =
+      Link.reachable() || Now - Link.lostAt() < Options.MaxStoreSilence;
+  return Scheduler && JobWatcher->ready() && HasStore;
+}
+
+void pool_role::observe(const stored_object &Object) {
+  const bool Held = Lease.holds();
+  if (Object.Removed || Object.Spec.is_null())
+    Lease.observeAbsent();
+  else
+    Lease.observe(decodeLease(Object), event_loop::now());
+  HolderDown = false;
+  AskFailed = 0;
+  if (Held && !Lease.holds())
+    stepDown("another process holds the lease");
+  logState("lease_seen", {{"pool", pool()},
+                          {"holder", Lease.record().Holder},
+                          {"token", std::to_string(Lease.record().Token)},
+                          {"revision",
+                           std::to_string(Lease.record().Revision)}});
+  if (Lease.mayAcquire(false))
+    acquireSoon();
+}
+
+void pool_role::ask() {
+  AskTimer = Options.Scheduler.Loop.after(Options.AskInterval, [this] {
+    const std::string Address = schedulerAddress();
+    if (Address.empty()) {
+      if (Lease.mayAcquire(false))
+        acquireSoon();
+      ask();
+      return;
+    }
+    const http_request Question{
+        .Method = "GET",
+        .Target = std::string(InnerAlivePath) + "?pool=" +
+                  percentEncode(pool()),
+        .Headers = {{"Host", Address}},
+        .Body = {}};
+    AskCall = Options.Scheduler.Client.fetch(
+        Address, Question, Options.AskTimeout,
+        [this](const call_end &End, const http_response &Response) {
+          onAsked(End.Result == call_result::Complete &&
+                  Response.Status == 200);
+          ask();
+        });
+  });
+}
+
+void pool_role::onAsked(bool Answered) {
+  if (Answered) {
+    AskFailed = 0;
+    HolderDown = false;
+    return;
+  }
+  if (++AskFailed < Options.AskFailures)
+    return;
+  if (!HolderDown)
+    logState("holder_down", {{"pool", pool()},
+                             {"holder", Lease.record().Holder},
+                             {"questions", std::to_string(AskFailed)}});
+  HolderDown = true;
+  acquireSoon();
+}
+
+void pool_role::acquireSoon() {
+  if (AcquireTimer || Writing || Released)
+    return;
+  const double Wait = Options.Random() * double(Options.AcquireSpread.count());
+  AcquireTimer =
+      Options.Scheduler.Loop.after(milliseconds(long(Wait)), [this] {
+        AcquireTimer.reset();
+        acquire();
+      });
+}
+
+void pool_role::acquire() {
+  if (Writing || Released || !Lease.mayAcquire(HolderDown) ||
+      !Options.Scheduler.Link.reachable())
+    return;
+  write(Lease.proposal(), /*Renewal=*/false);
+}
+
+void pool_role::renew() {
+  if (Writing || Released || !Lease.holds())
+    return;
+  write(Lease.proposal(), /*Renewal=*/true);
+}
+
+void pool_role::write(const pool_lease_record &Record, bool Renewal) {
+  Writing = true;
+  json Value = encodeLease(Record);
+  // A change that changes nothing has no new revision, and a renewal must
+  // have one.
+  if (Renewal)
+    Value["renewal"] = Options.Scheduler.NewId();
+  object_request Request{.Op = Record.Revision == 0 ? object_op::Create
+                                                    : object_op::Replace,
+                         .Kind = Options.LeaseKind,
+                         .Name = pool(),
+                         .Value = std::move(Value)};
+  if (Record.Revision != 0)
+    Request.Revision = Record.Revision;
+  const time_point SentAt = event_loop::now();
+  Options.Scheduler.Link.call(
+      Request, [this, Weak = std::weak_ptr<bool>(Alive), Record, Renewal,
+                SentAt](const object_reply &Reply) {
+        if (Weak.expired())
+          return;
+        Writing = false;
+        if (Reply.Outcome == object_outcome::Done && !Reply.Objects.empty()) {
+          pool_lease_record Written = Record;
+          Written.Revision = Reply.Objects.front().Revision;
+          Lease.onWritten(Written, SentAt, event_loop::now());
+          if (!Renewal)
+            becomeScheduler();
+          return;
+        }
+        logState("lease_write_failed",
+                 {{"pool", pool()},
+                  {"outcome", std::string(toString(Reply.Outcome))},
+                  {"detail", Reply.Detail}});
+        reread();
+      });
+}
+
+/// Reads the lease back: the write may have been done although its answer was
+/// lost, or another process may hold the lease.
+void pool_role::reread() {
+  Options.Scheduler.Link.whenReachable([this,
+                                        Weak = std::weak_ptr<bool>(Alive)] {
+    if (Weak.expired())
+      return;
+    Options.Scheduler.Link.call(
+        {.Op = object_op::Get, .Kind = Options.LeaseKind, .Name = pool()},
+        [this, Weak](const object_reply &Reply) {
+          if (Weak.expired())
+            return;
+          if (Reply.Outcome == object_outcome::Done &&
+              !Reply.Objects.empty()) {
+            observe(Reply.Objects.front());
+            if (Lease.holds() && !Scheduler && !Released)
+              becomeScheduler();
+          } else if (Reply.Outcome == object_outcome::NotFound) {
+            stored_object Absent;
+            Absent.Removed = true;
+            observe(Absent);
+          }
+        });
+  });
+}
+
+void pool_role::becomeScheduler() {
+  AcquiredAtRevision = Lease.record().Revision;
+  AskFailed = 0;
+  HolderDown = false;
+  logState("scheduler_started",
+           {{"pool", pool()},
+            {"token", std::to_string(Lease.record().Token)}});
+  metrics::get().counter("scheduler_starts_total").add();
+  job_scheduler_options SchedulerOptions = Options.Scheduler;
+  SchedulerOptions.ChangingWeights = [this](std::string_view Replica,
+                                            std::string_view Model) {
+    return Weights && Weights->changing(Replica, Model);
+  };
+  Scheduler = std::make_unique<job_scheduler>(std::move(SchedulerOptions));
+  Weights = std::make_unique<weight_driver>(weight_driver_options{
+      .Loop = Options.Scheduler.Loop,
+      .Client = Options.Scheduler.Client,
+      .Directory = Options.Scheduler.Directory,
+      .Protocols = Options.Scheduler.Protocols,
+      .Pool = pool(),
+      .Holder = Options.Self,
+      .FencingToken = Lease.record().Token,
+      .MayOrder =
+          [this](time_point Now) {
+            if (Lease.shouldRenew(Now))
+              renew();
+            return Lease.mayAct(Now);
+          },
+      .WantLease = [this] { renew(); },
+      .RunningOn =
+          [this](std::string_view Replica) {
+            return Scheduler ? Scheduler->runningOn(Replica) : 0;
+          },
+      .OnFenced = [this] { reread(); },
+      .OnChanged = [this] { replicasChanged(); }});
+  JobWatcher = std::make_unique<object_watcher>(
+      Options.Scheduler.Loop, Options.Scheduler.Link,
+      object_watcher_options{
+          .Kind = Options.JobKind,
+          .OnSnapshot =
+              [this](std::span<const stored_object> All) {
+                for (const stored_object &Object : All)
+                  onJob(Object, /*Listed=*/true);
+              },
+          .OnChange =
+              [this](const stored_object &Object) {
+                onJob(Object, /*Listed=*/false);
+              }});
+  JobWatcher->start();
+  const auto OnVersion = [this](const stored_object &Object) {
+    if (Object.Removed)
+      return;
+    try {
+      const named_version Named =
+          Options.Scheduler.Protocols.DecodeVersion(Object);
+      Weights->setNamed(Named.Model, Named.Version);
+    } catch (const std::invalid_argument &Error) {
+      logState("version_unreadable",
+               {{"object", Object.Name}, {"reason", Error.what()}});
+    }
+  };
+  WeightWatcher = std::make_unique<object_watcher>(
+      Options.Scheduler.Loop, Options.Scheduler.Link,
+      object_watcher_options{
+          .Kind = Options.Scheduler.Protocols.Objects.WeightKind,
+          .OnSnapshot =
+              [OnVersion](std::span<const stored_object> All) {
+                for (const stored_object &Object : All)
+                  OnVersion(Object);
+              },
+          .OnChange = OnVersion});
+  WeightWatcher->start();
+}
+
+void pool_role::stepDown(std::string_view Reason) {
+  if (!Scheduler)
+    return;
+  logState("scheduler_stopped",
+           {{"pool", pool()}, {"reason", std::string(Reason)}});
+  // Reached from hooks of the objects that are given up.
+  Options.Scheduler.Loop.post(
+      [Jobs = std::shared_ptr<object_watcher>(std::move(JobWatcher)),
+       Versions = std::shared_ptr<object_watcher>(std::move(WeightWatcher)),
+       Driver = std::shared_ptr<weight_driver>(std::move(Weights)),
+       Former = std::shared_ptr<job_scheduler>(std::move(Scheduler))] {});
+}
+
+void pool_role::onJob(const stored_object &Object, bool Listed) {
+  if (Object.Removed || !Scheduler)
+    return;
+  try {
+    if (Scheduler->knows(Object.Name)) {
+      if (isEnded(Object))
+        Scheduler->endJob(Object.Name);
+      return;
+    }
+    if (isEnded(Object) || decodeJobDocument(Object).Pool != pool())
+      return;
+    // A job that was accepted after the lease was taken can have results of
+    // this scheduler only, or of one that is about to find out.
+    const bool MayHaveResults =
+        Listed || Object.Revision <= AcquiredAtRevision;
+    Scheduler->addJob(
+        decodeStoredJob(Object, Options.Scheduler.Protocols), MayHaveResults);
+  } catch (const std::invalid_argument &Error) {
+    logFault("job_unreadable",
+             {{"job", Object.Name}, {"reason", Error.what()}});
+  }
+}
+
+void pool_role::replicasChanged() {
+  if (Scheduler)
+    Scheduler->scheduleSoon();
+}
+
+void pool_role::release(std::function<void()> Done) {
+  const bool Held = Lease.holds();
+  Released = true;
+  AskTimer.reset();
+  stepDown("shutdown");
+  if (!Held) {
+    Done();
+    return;
+  }
+  pool_lease_record Record = Lease.proposal();
+  Record.Holder.clear();
+  Record.Address.clear();
+  object_request Request{.Op = object_op::Replace,
+                         .Kind = Options.LeaseKind,
+                         .Name = pool(),
+                         .Value = encodeLease(Record),
+                         .Revision = Record.Revision};
+  Options.Scheduler.Link.call(
+      Request, [Done = std::move(Done)](const object_reply & /*Reply*/) {
+        Done();
+      });
+}
+
+} // namespace cardamom
--- /dev/null
+++ b/jobs/pool_role.h
@@ -0,0 +1,111 @@
+/// \file
+/// Decides which gateway schedules the jobs of a pool and gives orders to its
+/// replicas, and does so while it is this one.
+///
+/// Use:
+///   pool_role Role({...});
+///   Role.observe(Object);        // the pool's lease, as the store shows it
+///   if (job_scheduler *S = Role.scheduler()) ...
+///   Role.release();              // on shutdown
+///
+/// One gateway holds the pool's lease. The others ask it regularly whether it
+/// is alive and has the store; when it does not answer, one of them takes the
+/// lease over by a conditional write.
+
+#ifndef CARDAMOM_JOBS_POOL_ROLE_H
+#define CARDAMOM_JOBS_POOL_ROLE_H
+
+#include "jobs/job_scheduler.h"
+#include "jobs/weight_driver.h"
+#include "policy/lease.h"
+#include "store/object_watcher.h"
+
+#include <functional>
+#include <memory>
+#include <string>
+
+namespace cardamom {
+
+class client_call_state;
+
+struct pool_role_options {
+  /// Scheduler's options; ChangingWeights is set by the role.
+  job_scheduler_options Scheduler;
+  std::string Self;
+  std::string Incarnation;
+  std::string InnerAddress;
+  milliseconds LeaseLength{3000};
+  std::string LeaseKind;
+  std::string JobKind;
+  /// Uniform random number in [0, 1).
+  std::function<double()> Random;
+  /// Pause between two questions to the holder.
+  milliseconds AskInterval{500};
+  milliseconds AskTimeout{600};
+  /// Questions in a row without an answer before the holder is taken for
+  /// down.
+  unsigned AskFailures = 3;
+  /// A holder that has had no answer of the store for this long says that it
+  /// cannot serve.
+  milliseconds MaxStoreSilence{1500};
+  /// Those who want the lease wait up to this long at random, so that one
+  /// write usually decides.
+  milliseconds AcquireSpread{400};
+};
+
+class pool_role {
+public:
+  explicit pool_role(pool_role_options Options);
+  ~pool_role();
+  pool_role(const pool_role &) = delete;
+  pool_role &operator=(const pool_role &) = delete;
+
+  /// The pool's lease object; Removed or a null Spec = there is none.
+  void observe(const stored_object &Object);
+  /// Null while another process is the scheduler.
+  [[nodiscard]] job_scheduler *scheduler() { return Scheduler.get(); }
+  /// Inner address of the scheduler, empty when there is none or it is this
+  /// process.
+  [[nodiscard]] std::string schedulerAddress() const;
+  /// Whether this process can serve the pool: it is the scheduler, knows the
+  /// pool's jobs, and the store answers.
+  [[nodiscard]] bool serving(time_point Now) const;
+  /// Gives the lease up and takes it no more.
+  void release(std::function<void()> Done);
+  void replicasChanged();
+  [[nodiscard]] const std::string &pool() const {
+    return Options.Scheduler.Pool;
+  }
+
+private:
+  void ask();
+  void onAsked(bool Answered);
+  void acquireSoon();
+  void acquire();
+  void renew();
+  void write(const pool_lease_record &Record, bool Renewal);
+  void reread();
+  void becomeScheduler();
+  void stepDown(std::string_view Reason);
+  void onJob(const stored_object &Object, bool Listed);
+
+  pool_role_options Options;
+  lease Lease;
+  bool HolderDown = false;
+  bool Writing = false;
+  bool Released = false;
+  unsigned AskFailed = 0;
+  uint64_t AcquiredAtRevision = 0;
+  std::unique_ptr<job_scheduler> Scheduler;
+  std::unique_ptr<weight_driver> Weights;
+  std::unique_ptr<object_watcher> JobWatcher;
+  std::unique_ptr<object_watcher> WeightWatcher;
+  std::shared_ptr<client_call_state> AskCall;
+  std::shared_ptr<timer_state> AskTimer;
+  std::shared_ptr<timer_state> AcquireTimer;
+  std::shared_ptr<bool> Alive = std::make_shared<bool>(true);
+};
+
+} // namespace cardamom
+
+#endif // CARDAMOM_JOBS_POOL_ROLE_H
--- /dev/null
+++ b/jobs/result_page.h
@@ -0,0 +1,22 @@
+/// \file
+/// Pages of listed results.
+
+#ifndef CARDAMOM_JOBS_RESULT_PAGE_H
+#define CARDAMOM_JOBS_RESULT_PAGE_H
+
+#include "gateway/protocols.h"
+
+#include <span>
+#include <string>
+
+namespace cardamom {
+
+/// The results from position After on whose texts have at most MaxBytes
+/// together, and at least one if there is one.
+std::string encodePage(std::span<const item_result> Listed, uint64_t Total,
+                       uint64_t After, size_t MaxBytes,
+                       const gateway_protocols &Protocols);
+
+} // namespace cardamom
+
+#endif // CARDAMOM_JOBS_RESULT_PAGE_H
--- /dev/null
+++ b/jobs/weight_driver.cpp
@@ -0,0 +1,240 @@
+#include "jobs/weight_driver.h"
+
+#include "base/log.h"
+#include "base/metrics.h"
+#include "http/event_loop.h"
+#include "http/http_client.h"
+
+#include <stdexcept>
+#include <vector>
+
+namespace cardamom {
+
+/// How often the plan is looked at.
+static constexpr milliseconds PlanInterval{100};
+/// Pause before a replica whose report or order failed is tried again.
+static constexpr milliseconds FailurePause{500};
+
+weight_driver::weight_driver(weight_driver_options Options)
+    : Options(std::move(Options)) {
+  tick();
+}
+
+weight_driver::~weight_driver() = default;
+
+void weight_driver::setNamed(const std::string &Model, uint64_t Version) {
+  uint64_t &Known = Named[Model];
+  if (Version <= Known)
+    return;
+  Known = Version;
+  logState("version_named",
+           {{"model", Model}, {"version", std::to_string(Version)}});
+  plan();
+}
+
+bool weight_driver::changing(std::string_view Replica,
+                             std::string_view Model) const {
+  const auto It = Changes.find(Replica);
+  return It != Changes.end() && It->second.Ordered &&
+         It->second.Wanted.Model == Model;
+}
+
+void weight_driver::tick() {
+  TickTimer = Options.Loop.after(PlanInterval, [this] {
+    plan();
+    tick();
+  });
+}
+
+void weight_driver::plan() {
+  const time_point Now = event_loop::now();
+  const std::vector<const replica *> Usable =
+      Options.Directory.usable(Options.Pool, Now);
+  std::vector<weight_replica> Replicas;
+  for (const replica *Replica : Usable) {
+    const auto Paused = NotBefore.find(Replica->Id);
+    if (Paused != NotBefore.end() && Now < Paused->second)
+      continue;
+    weight_replica View{.Id = Replica->Id,
+                        .Versions = {},
+                        .Busy = Changes.contains(Replica->Id),
+                        .Running = Options.RunningOn(Replica->Id)};
+    for (const auto &[Model, Version] : Replica->Versions)
+      View.Versions[Model] = Version;
+    Replicas.push_back(std::move(View));
+  }
+  const std::vector<weight_change> Wanted =
+      planWeightChanges({.Replicas = Replicas, .Named = Named});
+  if (Wanted.empty())
+    return;
+  if (!Options.MayOrder(Now)) {
+    Options.WantLease();
+    return;
+  }
+  for (const weight_change &Change : Wanted)
+    begin(std::string(Replicas[Change.Replica].Id), Change);
+}
+
+weight_driver::change *weight_driver::find(const std::string &ReplicaId) {
+  const auto It = Changes.find(ReplicaId);
+  return It == Changes.end() ? nullptr : &It->second;
+}
+
+void weight_driver::begin(const std::string &ReplicaId, weight_change Wanted) {
+  change &Change = Changes[ReplicaId];
+  Change.Wanted = std::move(Wanted);
+  Change.StartedAt = event_loop::now();
+  report(ReplicaId);
+}
+
+void weight_driver::report(const std::string &ReplicaId) {
+  change *Change = find(ReplicaId);
+  const replica *Replica = Options.Directory.find(ReplicaId);
+  if (!Change)
+    return;
+  if (!Replica) {
+    finish(ReplicaId);
+    return;
+  }
+  Change->Call = Options.Client.fetch(
+      Replica->Address, Options.Protocols.ReportRequest(ReplicaId),
+      Options.CallTimeout,
+      [this, ReplicaId](const call_end &End, const http_response &Response) {
+        try {
+          if (End.Result != call_result::Complete)
+            throw std::invalid_argument(std::string(toString(End.Result)));
+          onReport(ReplicaId, Options.Protocols.DecodeReport(Response));
+        } catch (const std::invalid_argument &Error) {
+          logState("report_failed",
+                   {{"replica", ReplicaId}, {"reason", Error.what()}});
+          NotBefore[ReplicaId] = event_loop::now() + FailurePause;
+          finish(ReplicaId);
+        }
+      });
+}
+
+void weight_driver::onReport(const std::string &ReplicaId,
+                             const replica_report &Report) {
+  change *Change = find(ReplicaId);
+  if (!Change)
+    return;
+  const auto Version = Report.Versions.find(Change->Wanted.Model);
+  const bool Has = Version != Report.Versions.end() &&
+                   Version->second >= Change->Wanted.Version;
+  if (Has && !Report.OrderInProgress) {
+    Options.Directory.setVersion(ReplicaId, Change->Wanted.Model,
+                                 Version->second);
+    logState("weights_changed",
+             {{"replica", ReplicaId},
+              {"model", Change->Wanted.Model},
+              {"version", std::to_string(Version->second)},
+              {"ms", std::to_string(
+                         std::chrono::duration_cast<milliseconds>(
+                             event_loop::now() - Change->StartedAt)
+                             .count())}});
+    finish(ReplicaId);
+    Options.OnChanged();
+    return;
+  }
+  const bool Overdue =
+      event_loop::now() - Change->StartedAt > Options.LoadTimeout;
+  const bool Settled =
+      event_loop::now() - Change->OrderedAt > Options.OrderSettleTime;
+  if (Change->Ordered && !Overdue && (Report.OrderInProgress || !Settled)) {
+    reportLater(ReplicaId);
+    return;
+  }
+  // The order was lost or failed: it is given again. A first one that is
+  // still carried out changes the count that the second one requires.
+  if (Report.OrderInProgress || Overdue) {
+    NotBefore[ReplicaId] = event_loop::now() + FailurePause;
+    finish(ReplicaId);
+    return;
+  }
+  order(ReplicaId, Report);
+}
+
+void weight_driver::order(const std::string &ReplicaId,
+                          const replica_report &Report) {
+  change *Change = find(ReplicaId);
+  const replica *Replica = Options.Directory.find(ReplicaId);
+  if (!Replica || !Options.MayOrder(event_loop::now())) {
+    finish(ReplicaId);
+    return;
+  }
+  const replica_order Order{.Model = Change->Wanted.Model,
+                           .Version = Change->Wanted.Version,
+                           .FinishRunsFirst = false,
+                           .Holder = Options.Holder,
+                           .FencingToken = Options.FencingToken,
+                           .ExpectedOrders = Report.OrdersAccepted,
+                           .ReplicaId = ReplicaId};
+  Change->Ordered = true;
+  Change->OrderedAt = event_loop::now();
+  metrics::get().counter("weight_orders_total").add();
+  logState("weights_ordered",
+           {{"replica", ReplicaId},
+            {"model", Order.Model},
+            {"version", std::to_string(Order.Version)},
+            {"orders_before", std::to_string(Order.ExpectedOrders)},
+            {"token", std::to_string(Order.FencingToken)}});
+  Change->Call = Options.Client.fetch(
+      Replica->Address, Options.Protocols.EncodeOrder(Order),
+      Options.CallTimeout,
+      [this, ReplicaId](const call_end &End, const http_response &Response) {
+        onOrder(ReplicaId, End.Result == call_result::Complete
+                               ? Options.Protocols.DecodeOrder(Response)
+                               : order_outcome::Unknown);
+      });
+}
+
+void weight_driver::onOrder(const std::string &ReplicaId,
+                            order_outcome Outcome) {
+  change *Change = find(ReplicaId);
+  if (!Change)
+    return;
+  switch (Outcome) {
+  case order_outcome::Accepted:
+  case order_outcome::Unknown:
+    // Reports tell whether an order without an answer was accepted.
+    reportLater(ReplicaId);
+    return;
+  case order_outcome::Holds:
+    Options.Directory.setVersion(ReplicaId, Change->Wanted.Model,
+                                 Change->Wanted.Version);
+    finish(ReplicaId);
+    Options.OnChanged();
+    return;
+  case order_outcome::Fenced:
+    logState("order_fenced", {{"replica", ReplicaId}});
+    finish(ReplicaId);
+    Options.OnFenced();
+    return;
+  case order_outcome::Conflict:
+  case order_outcome::WrongReplica:
+  case order_outcome::Invalid:
+    logState("order_refused",
+             {{"replica", ReplicaId},
+              {"outcome", std::to_string(int(Outcome))}});
+    NotBefore[ReplicaId] = event_loop::now() + FailurePause;
+    finish(ReplicaId);
+    return;
+  }
+}
+
+void weight_driver::reportLater(const std::string &ReplicaId) {
+  if (change *Change = find(ReplicaId))
+    Change->Timer = Options.Loop.after(
+        Options.ReportInterval, [this, ReplicaId] { report(ReplicaId); });
+}
+
+void weight_driver::finish(const std::string &ReplicaId) {
+  const auto It = Changes.find(ReplicaId);
+  if (It == Changes.end())
+    return;
+  // The call may be the one whose hook is running.
+  Options.Loop.post([Call = std::move(It->second.Call)] {});
+  Changes.erase(It);
+}
+
+} // namespace cardamom
--- /dev/null
+++ b/jobs/weight_driver.h
@@ -0,0 +1,101 @@
+/// \file
+/// Brings the replicas of one pool to the versions of the weights that
+/// trainers have named.
+///
+/// Use:
+///   weight_driver Driver({...});
+///   Driver.setNamed("model", 7);
+///   Driver.changing("replica", "model"); // no new runs there meanwhile
+///
+/// At most one order at a time is on its way to a replica, made conditional
+/// on the count of orders that the replica reported just before, so that one
+/// carried out late changes nothing.
+
+#ifndef CARDAMOM_JOBS_WEIGHT_DRIVER_H
+#define CARDAMOM_JOBS_WEIGHT_DRIVER_H
+
+#include "gateway/protocols.h"
+#include "policy/weight_plan.h"
+
+#include <functional>
+#include <map>
+#include <memory>
+#include <optional>
+#include <string>
+
+namespace cardamom {
+
+class event_loop;
+class http_client;
+class client_call_state;
+class timer_state;
+
+struct weight_driver_options {
+  event_loop &Loop;
+  http_client &Client;
+  replica_directory &Directory;
+  const gateway_protocols &Protocols;
+  std::string Pool;
+  std::string Holder;
+  uint64_t FencingToken = 0;
+  /// Whether this process may give orders at the moment.
+  std::function<bool(time_point Now)> MayOrder;
+  /// Asks for the lease to be renewed; MayOrder() tells when it is.
+  std::function<void()> WantLease;
+  std::function<unsigned(std::string_view Replica)> RunningOn;
+  /// A replica has seen a higher fencing token.
+  std::function<void()> OnFenced;
+  /// A replica has changed its version.
+  std::function<void()> OnChanged;
+  /// Pause between two looks at a replica that is loading.
+  milliseconds ReportInterval{250};
+  milliseconds CallTimeout{1000};
+  /// Reports lag; after this time one that shows no change is believed.
+  milliseconds OrderSettleTime{1000};
+  /// A load that takes longer is taken for lost and looked at anew.
+  milliseconds LoadTimeout{15000};
+};
+
+class weight_driver {
+public:
+  explicit weight_driver(weight_driver_options Options);
+  ~weight_driver();
+  weight_driver(const weight_driver &) = delete;
+  weight_driver &operator=(const weight_driver &) = delete;
+
+  void setNamed(const std::string &Model, uint64_t Version);
+  [[nodiscard]] bool changing(std::string_view Replica,
+                              std::string_view Model) const;
+
+private:
+  struct change {
+    weight_change Wanted;
+    /// The order is on its way or has been accepted.
+    bool Ordered = false;
+    time_point StartedAt;
+    time_point OrderedAt{};
+    std::shared_ptr<client_call_state> Call;
+    std::shared_ptr<timer_state> Timer;
+  };
+
+  void tick();
+  void plan();
+  void begin(const std::string &ReplicaId, weight_change Wanted);
+  void report(const std::string &ReplicaId);
+  void onReport(const std::string &ReplicaId, const replica_report &Report);
+  void order(const std::string &ReplicaId, const replica_report &Report);
+  void onOrder(const std::string &ReplicaId, order_outcome Outcome);
+  void reportLater(const std::string &ReplicaId);
+  void finish(const std::string &ReplicaId);
+  change *find(const std::string &ReplicaId);
+
+  weight_driver_options Options;
+  std::map<std::string, uint64_t, std::less<>> Named;
+  std::map<std::string, change, std::less<>> Changes;
+  std::map<std::string, time_point, std::less<>> NotBefore;
+  std::shared_ptr<timer_state> TickTimer;
+};
+
+} // namespace cardamom
+
+#endif // CARDAMOM_JOBS_WEIGHT_DRIVER_H
--- /dev/null
+++ b/policy/weight_plan.h
@@ -0,0 +1,54 @@
+/// \file
+/// Chooses the replicas that change to new weights next.
+///
+/// Use:
+///   for (const weight_change &Change : planWeightChanges({...}))
+///     order Change.Replica to load Change.Version of Change.Model
+///
+/// Answers trainers that name a version every few seconds while loads slow one
+/// another down: a bounded share of the replicas loads at a time, those with
+/// the oldest weights first, straight to the newest version. Pure;
+/// O(models x replicas).
+
+#ifndef CARDAMOM_POLICY_WEIGHT_PLAN_H
+#define CARDAMOM_POLICY_WEIGHT_PLAN_H
+
+#include <cstddef>
+#include <cstdint>
+#include <map>
+#include <span>
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace cardamom {
+
+struct weight_replica {
+  std::string_view Id;
+  /// Observed versions by model.
+  std::map<std::string_view, uint64_t> Versions;
+  /// An order is in progress, or its outcome is not known yet.
+  bool Busy = false;
+  unsigned Running = 0;
+};
+
+struct weight_change {
+  /// Index into the replicas.
+  size_t Replica = 0;
+  std::string Model;
+  uint64_t Version = 0;
+};
+
+struct weight_plan_input {
+  std::span<const weight_replica> Replicas;
+  /// Newest named version by model.
+  const std::map<std::string, uint64_t, std::less<>> &Named;
+  /// Share of the replicas that may load at the same time; at least one does.
+  double ConcurrentShare = 0.2;
+};
+
+std::vector<weight_change> planWeightChanges(const weight_plan_input &Input);
+
+} // namespace cardamom
+
+#endif // CARDAMOM_POLICY_WEIGHT_PLAN_H
--- /dev/null
+++ b/server/gateway.cpp
@@ -0,0 +1,454 @@
+#include "server/gateway.h"
+
+#include "base/log.h"
+#include "base/metrics.h"
+#include "gateway/plain_caller.h"
+#include "http/event_loop.h"
+#include "http/http_client.h"
+#include "http/http_server.h"
+#include "jobs/inner_paths.h"
+#include "jobs/job_desk.h"
+#include "jobs/pool_role.h"
+#include "policy/router.h"
+#include "server/caller_front.h"
+#include "store/object_watcher.h"
+
+#include <algorithm>
+#include <chrono>
+#include <map>
+#include <random>
+#include <stdexcept>
+#include <vector>
+
+namespace cardamom {
+
+static constexpr std::string_view JobKind = "jobs";
+static constexpr std::string_view ResultKind = "job-results";
+static constexpr std::string_view LeaseKind = "pool-leases";
+/// How often replicas that are missing after an outage are looked at.
+static constexpr milliseconds HousekeepingInterval{500};
+/// A replica that is missing this soon after an outage may come back.
+static constexpr milliseconds OutageMemory{3000};
+/// How often a stopping process looks whether all is answered.
+static constexpr milliseconds StopCheckInterval{50};
+/// Idle connections of callers are closed this long after their last answer
+/// once a stopping process is out of rotation.
+static constexpr milliseconds DrainIdleTime{250};
+/// Gateways answer a retirement after a random pause, so that mostly one does.
+static constexpr milliseconds RetirementSpread{400};
+
+static uint64_t unixNowMs() {
+  return uint64_t(std::chrono::duration_cast<milliseconds>(
+                      std::chrono::system_clock::now().time_since_epoch())
+                      .count());
+}
+
+struct gateway::state : std::enable_shared_from_this<state> {
+  state(event_loop &Loop, http_client &Client, gateway_options Given);
+
+  void start();
+  void watch(std::string Kind, std::function<void(const stored_object &)> Each);
+  void watchReplicas();
+  void onConfig(const stored_object &Object);
+  void onLease(const stored_object &Object);
+  void onRetirement(const stored_object &Object);
+  std::optional<replica> readReplica(const stored_object &Object);
+  [[nodiscard]] bool afterOutage() const;
+  void updatePools();
+  pool_role *findPool(const std::string &Name);
+  std::unique_ptr<pool_role> makePool(const std::string &Name);
+  void housekeeping();
+  void handleInner(const exchange_ptr &Exchange);
+  void innerResults(const exchange_ptr &Exchange, pool_role *Role);
+  void answerReady(const exchange_ptr &Exchange) const;
+  void stop();
+  void checkStopped();
+  double random() { return std::uniform_real_distribution<>(0, 1)(Generator); }
+  std::string newId();
+
+  event_loop &Loop;
+  http_client &Client;
+  gateway_options Options;
+  std::mt19937_64 Generator{std::random_device{}()};
+  std::string Incarnation;
+  object_link Link;
+  replica_directory Directory;
+  router Router;
+  plain_caller Caller;
+  job_desk Desk;
+  caller_front Front;
+  std::vector<std::unique_ptr<object_watcher>> Watchers;
+  object_watcher *ReplicaWatcher = nullptr;
+  std::map<std::string, std::unique_ptr<pool_role>> Pools;
+  /// Leases seen, for pools that the configuration brings later.
+  std::map<std::string, stored_object> Leases;
+  bool LeasesListed = false;
+  std::unique_ptr<http_server> CallerServer;
+  std::unique_ptr<http_server> ReadyServer;
+  std::unique_ptr<http_server> InnerServer;
+  std::unique_ptr<http_server> MetricsServer;
+  timer_handle HousekeepingTimer;
+  timer_handle StopTimer;
+  std::map<std::string, timer_handle> RetirementTimers;
+  bool Stopping = false;
+  bool Draining = false;
+  time_point StoppedAt{};
+};
+
+gateway::state::state(event_loop &Loop, http_client &Client,
+                      gateway_options Given)
+    : Loop(Loop), Client(Client), Options(std::move(Given)),
+      Incarnation(newId()),
+      Link(Loop, {.Send = Options.SendToStore,
+                  .Probe = {.Op = object_op::Get,
+                            .Kind = Options.Protocols.Objects.ConfigKind,
+                            .Name = Options.Protocols.Objects.ConfigName},
+                  .OnChange =
+                      [](bool Reachable, const std::string &Detail) {
+                        logState(Reachable ? "store_back" : "store_lost",
+                                 {{"detail", Detail}});
+                      }}),
+      Directory({.Log =
+                     [](std::string_view Event, const replica &Replica,
+                        const std::string &Detail) {
+                       logState(Event, {{"replica", Replica.Id},
+                                        {"service", Replica.Service},
+                                        {"address", Replica.Address},
+                                        {"detail", Detail}});
+                     }}),
+      Router({.Random = [this] { return random(); }}),
+      Caller({.Loop = Loop,
+              .Client = Client,
+              .Directory = Directory,
+              .Router = Router,
+              .Protocol = Options.Protocols.Upstream,
+              .FailureDomain = Options.FailureDomain,
+              .Random = [this] { return random(); }}),
+      Desk({.Loop = Loop,
+            .Client = Client,
+            .Link = Link,
+            .Protocols = Options.Protocols,
+            .JobKind = std::string(JobKind),
+            .ResultKind = std::string(ResultKind),
+            .FindPool =
+                [this](const std::string &Pool) { return findPool(Pool); },
+            .UnixNow = unixNowMs}),
+      Front({.Caller = Caller,
+             .Desk = Desk,
+             .Protocols = Options.Protocols,
+             .Random = [this] { return random(); }}) {}
+
+std::string gateway::state::newId() {
+  static constexpr std::string_view Hex = "0123456789abcdef";
+  std::string Id;
+  uint64_t Bits = Generator();
+  for (int I = 0; I < 16; ++I, Bits >>= 4)
+    Id += Hex[Bits & 15];
+  return Id;
+}
+
+void gateway::state::start() {
+  CallerServer = std::make_unique<http_server>(
+      Loop, http_server_options{.Listen = Options.CallerListen,
+                                .OnRequest = [this](const exchange_ptr &E) {
+                                  Front.handle(E);
+                                }});
+  ReadyServer = std::make_unique<http_server>(
+      Loop, http_server_options{.Listen = Options.ReadyListen,
+                                .OnRequest = [this](const exchange_ptr &E) {
+                                  answerReady(E);
+                                }});
+  InnerServer = std::make_unique<http_server>(
+      Loop, http_server_options{.Listen = Options.InnerListen,
+                                .OnRequest = [this](const exchange_ptr &E) {
+                                  handleInner(E);
+                                }});
+  if (!Options.MetricsListen.empty())
+    MetricsServer = std::make_unique<http_server>(
+        Loop, http_server_options{.Listen = Options.MetricsListen,
+                                  .OnRequest = [this](const exchange_ptr &E) {
+                                    handleInner(E);
+                                  }});
+  const platform_objects &Objects = Options.Protocols.Objects;
+  watch(Objects.ConfigKind,
+        [this](const stored_object &Object) { onConfig(Object); });
+  watchReplicas();
+  watch(std::string(LeaseKind),
+        [this](const stored_object &Object) { onLease(Object); });
+  watch(Objects.RetirementKind,
+        [this](const stored_object &Object) { onRetirement(Object); });
+  housekeeping();
+}
+
+void gateway::state::watch(std::string Kind,
+                           std::function<void(const stored_object &)> Each) {
+  const bool IsLease = Kind == LeaseKind;
+  Watchers.push_back(std::make_unique<object_watcher>(
+      Loop, Link,
+      object_watcher_options{
+          .Kind = std::move(Kind),
+          .OnSnapshot =
+              [this, Each, IsLease](std::span<const stored_object> All) {
+                for (const stored_object &Object : All)
+                  Each(Object);
+                if (!IsLease)
+                  return;
+                LeasesListed = true;
+                updatePools();
+              },
+          .OnChange = Each}));
+  Watchers.back()->start();
+}
+
+bool gateway::state::afterOutage() const {
+  return !Link.reachable() ||
+         (Link.backAt() != time_point{} &&
+          event_loop::now() - Link.backAt() < OutageMemory);
+}
+
+std::optional<replica>
+gateway::state::readReplica(const stored_object &Object) {
+  try {
+    return Options.Protocols.DecodeReplica(Object);
+  } catch (const std::exception &Error) {
+    // Entries of other writers name no replica to use.
+    logState("replica_unreadable",
+             {{"object", Object.Name}, {"reason", Error.what()}});
+    return std::nullopt;
+  }
+}
+
+void gateway::state::watchReplicas() {
+  Watchers.push_back(std::make_unique<object_watcher>(
+      Loop, Link,
+      object_watcher_options{
+          .Kind = Options.Protocols.Objects.ReplicaKind,
+          .OnSnapshot =
+              [this](std::span<const stored_object> All) {
+                std::vector<replica> Replicas;
+                for (const stored_object &Object : All)
+                  if (auto Replica = readReplica(Object))
+                    Replicas.push_back(std::move(*Replica));
+                Directory.replaceAll(Replicas, afterOutage(),
+                                     event_loop::now());
+              },
+          .OnChange =
+              [this](const stored_object &Object) {
+                const time_point Now = event_loop::now();
+                const auto Replica =
+                    Object.Removed ? std::nullopt : readReplica(Object);
+                if (Replica)
+                  Directory.update(*Replica, Now);
+                else
+                  Directory.remove(Object.Name, afterOutage(), Now);
+                for (const auto &[Name, Pool] : Pools)
+                  Pool->replicasChanged();
+              }}));
+  ReplicaWatcher = Watchers.back().get();
+  ReplicaWatcher->start();
+}
+
+void gateway::state::onConfig(const stored_object &Object) {
+  if (Object.Name != Options.Protocols.Objects.ConfigName || Object.Removed)
+    return;
+  try {
+    const gateway_config Config = Options.Protocols.DecodeConfig(Object);
+    if (!Front.install(Config))
+      return;
+    CallerServer->setLimits(Config.Limits);
+    updatePools();
+  } catch (const std::exception &Error) {
+    logFault("config_unreadable", {{"reason", Error.what()}});
+  }
+}
+
+void gateway::state::onLease(const stored_object &Object) {
+  Leases[Object.Name] = Object;
+  if (pool_role *Role = findPool(Object.Name))
+    Role->observe(Object);
+}
+
+/// Each service of model engines is a pool.
+void gateway::state::updatePools() {
+  if (!LeasesListed || Stopping)
+    return;
+  for (const auto &[Name, Service] : Front.config().Services) {
+    if (!Service.IsEngine || Pools.contains(Name))
+      continue;
+    Pools[Name] = makePool(Name);
+    stored_object Absent;
+    Absent.Name = Name;
+    Absent.Removed = true;
+    const auto Known = Leases.find(Name);
+    Pools[Name]->observe(Known == Leases.end() ? Absent : Known->second);
+  }
+}
+
+std::unique_ptr<pool_role>
+gateway::state::makePool(const std::string &Name) {
+  return std::make_unique<pool_role>(pool_role_options{
+      .Scheduler =
+          {.Loop = Loop,
+           .Client = Client,
+           .Directory = Directory,
+           .Caller = Caller,
+           .Link = Link,
+           .Protocols = Options.Protocols,
+           .FindRoute =
+               [this](std::string_view Host, std::string_view Path) {
+                 return Front.findRoute(Host, Path);
+               },
+           .FindService = [this, Name]() -> const service * {
+             const auto It = Front.config().Services.find(Name);
+             return It == Front.config().Services.end() ? nullptr
+                                                        : &It->second;
+           },
+           .Pool = Name,
+           .FailureDomain = Options.FailureDomain,
+           .ResultKind = std::string(ResultKind),
+           .UnixNow = unixNowMs,
+           .NewId = [this] { return newId(); }},
+      .Self = Options.Name,
+      .Incarnation = Incarnation,
+      .InnerAddress = Options.InnerListen,
+      .LeaseLength = Options.LeaseLength,
+      .LeaseKind = std::string(LeaseKind),
+      .JobKind = std::string(JobKind),
+      .Random = [this] { return random(); }});
+}
+
+pool_role *gateway::state::findPool(const std::string &Name) {
+  const auto It = Pools.find(Name);
+  return It == Pools.end() ? nullptr : It->second.get();
+}
+
+/// Nothing of the system lies on a storage VM's disk, so that one may be taken
+/// away at once.
+void gateway::state::onRetirement(const stored_object &Object) {
+  RetirementTimers.erase(Object.Name);
+  const nlohmann::json Wanted = Options.Protocols.RetirementStatus(true);
+  if (Object.Removed || Object.Status == Wanted)
+    return;
+  const auto Pause = milliseconds(
+      long(random() * double(RetirementSpread.count())));
+  RetirementTimers[Object.Name] =
+      Loop.after(Pause, [this, Name = Object.Name, Wanted] {
+        logState("retirement_answered", {{"vm", Name}});
+        Link.call({.Op = object_op::ReplaceStatus,
+                   .Kind = Options.Protocols.Objects.RetirementKind,
+                   .Name = Name,
+                   .Value = Wanted},
+                  [this, Name](const object_reply &Reply) {
+                    if (Reply.Outcome == object_outcome::Refused ||
+                        Reply.Outcome == object_outcome::Unknown)
+                      Link.whenReachable([this, Name] {
+                        stored_object Again;
+                        Again.Name = Name;
+                        onRetirement(Again);
+                      });
+                  });
+      });
+}
+
+void gateway::state::housekeeping() {
+  HousekeepingTimer = Loop.after(HousekeepingInterval, [this] {
+    Directory.expire(event_loop::now());
+    metrics::get().gauge("store_calls").set(Link.calls());
+    metrics::get()
+        .gauge("upstream_connections_opened")
+        .set(Client.connectionsOpened());
+    metrics::get().gauge("replicas").set(Directory.size());
+    housekeeping();
+  });
+}
+
+void gateway::state::answerReady(const exchange_ptr &Exchange) const {
+  const bool Ready = !Stopping && Front.configured() && ReplicaWatcher->ready();
+  Exchange->answer({.Status = Ready ? 200U : 503U, .Headers = {}, .Body = {}});
+}
+
+void gateway::state::handleInner(const exchange_ptr &Exchange) {
+  const std::string_view Path = pathOf(Exchange->request().Target);
+  const std::string &Target = Exchange->request().Target;
+  if (Path == "/metrics") {
+    Exchange->answer({.Status = 200,
+                      .Headers = {{"Content-Type", "text/plain"}},
+                      .Body = metrics::get().expose()});
+    return;
+  }
+  pool_role *Role = findPool(queryParameter(Target, "pool"));
+  if (Path == InnerAlivePath) {
+    const bool Serving = Role && Role->serving(event_loop::now());
+    Exchange->answer(
+        {.Status = Serving ? 200U : 503U, .Headers = {}, .Body = {}});
+  } else if (Path == InnerResultsPath) {
+    innerResults(Exchange, Role);
+  } else if (Path == InnerEndPath) {
+    if (Role && Role->scheduler())
+      Role->scheduler()->endJob(queryParameter(Target, "job"));
+    Exchange->answer({.Status = 200, .Headers = {}, .Body = {}});
+  } else {
+    Exchange->answer({.Status = 404, .Headers = {}, .Body = {}});
+  }
+}
+
+void gateway::state::innerResults(const exchange_ptr &Exchange,
+                                  pool_role *Role) {
+  if (!Role || !Role->scheduler()) {
+    Exchange->answer({.Status = 404, .Headers = {}, .Body = {}});
+    return;
+  }
+  const std::string &Target = Exchange->request().Target;
+  job_call Call{.Kind = job_call_kind::Read,
+                .JobId = queryParameter(Target, "job")};
+  Call.After = strtoull(queryParameter(Target, "after").c_str(), nullptr, 10);
+  Call.Wait = milliseconds(
+      strtoull(queryParameter(Target, "wait_ms").c_str(), nullptr, 10));
+  Role->scheduler()->read(Call, [Exchange](bool Known,
+                                           const std::string &Page) {
+    Exchange->answer({.Status = Known ? 200U : 404U,
+                      .Headers = {{"Content-Type", "application/json"}},
+                      .Body = Page});
+  });
+}
+
+void gateway::state::stop() {
+  if (Stopping)
+    return;
+  Stopping = true;
+  StoppedAt = event_loop::now();
+  logState("stopping", {{"in_flight",
+                         std::to_string(CallerServer->requestsInFlight())}});
+  for (const auto &[Name, Pool] : Pools)
+    Pool->release([] {});
+  checkStopped();
+}
+
+void gateway::state::checkStopped() {
+  const auto Elapsed = event_loop::now() - StoppedAt;
+  if (Elapsed >= Options.DrainNotice && !Draining) {
+    Draining = true;
+    CallerServer->drain(DrainIdleTime);
+  }
+  const bool Idle = CallerServer->requestsInFlight() == 0 &&
+                    CallerServer->connections() == 0;
+  const bool Done = Elapsed >= Options.DrainNotice && Idle;
+  if (Done || Elapsed >= Options.StopTimeout) {
+    logState("stopped", {{"in_flight", std::to_string(
+                                           CallerServer->requestsInFlight())}});
+    Loop.stop();
+    return;
+  }
+  StopTimer = Loop.after(StopCheckInterval, [this] { checkStopped(); });
+}
+
+gateway::gateway(event_loop &Loop, http_client &Client, gateway_options Options)
+    : State(std::make_shared<state>(Loop, Client, std::move(Options))) {}
+
+gateway::~gateway() = default;
+
+void gateway::start() { State->start(); }
+
+void gateway::stop() { State->stop(); }
+
+} // namespace cardamom
--- a/settings/daemon_settings.cpp
+++ b/settings/daemon_settings.cpp
@@ -58,7 +58,7 @@
 }
 
 parse_result parseDaemonSettings(std::span<const char *const> Args) {
-  CLI::App App("Rollout service: an entry or an agent.", "cardamomd");
+  CLI::App App("Rollout service: one process of the fleet.", "cardamomd");
   setting_texts Texts;
   requested_output Output;
   addOptions(App, Texts, Output);
@@ -82,10 +82,23 @@
   return Result;
 }
 
+std::string_view roleName(daemon_role Role) {
+  switch (Role) {
+  case daemon_role::Entry:
+    return "entry";
+  case daemon_role::Agent:
+    return "agent";
+  case daemon_role::Gateway:
+    return "gateway";
+  case daemon_role::Reserve:
+    break;
+  }
+  return "reserve";
+}
+
 std::string formatSettings(const daemon_settings &Settings) {
-  const bool IsAgent = Settings.Role == daemon_role::Agent;
   const nlohmann::ordered_json Json = {
-      {"role", IsAgent ? "agent" : "entry"},
+      {"role", roleName(Settings.Role)},
       {"name", Settings.Name},
       {"failure_domain", Settings.FailureDomain},
       {"region", Settings.Region},
@@ -102,7 +115,10 @@
       {"http_threads", Settings.HttpThreads},
       {"retained_answers_mib", Settings.RetainedAnswerBytes / BytesPerMib},
       {"max_body_kib", Settings.MaxBodyBytes / BytesPerKib},
-      {"straggler_moves", Settings.StragglerMoves}};
+      {"straggler_moves", Settings.StragglerMoves},
+      {"ready_listen", Settings.ReadyListen},
+      {"metrics_listen", Settings.MetricsListen},
+      {"stop_timeout_ms", Settings.StopTimeout.count()}};
   return Json.dump(IndentSpaces, ' ', false,
                    nlohmann::json::error_handler_t::replace);
 }
--- a/settings/daemon_settings.h
+++ b/settings/daemon_settings.h
@@ -21,11 +21,19 @@
 #include <cstdint>
 #include <span>
 #include <string>
+#include <string_view>
 #include <vector>
 
 namespace cardamom {
 
-enum class daemon_role { Entry, Agent };
+enum class daemon_role {
+  Entry,
+  Agent,
+  /// Serves callers and calls upstreams directly.
+  Gateway,
+  /// Keeps a VM in the fleet without a duty.
+  Reserve,
+};
 
 /// All addresses are "IP:port" and have been checked.
 struct daemon_settings {
@@ -59,10 +67,18 @@
   size_t RetainedAnswerBytes = size_t(64) << 20;
   /// Bound on the body of a request.
   size_t MaxBodyBytes = size_t(960) << 10;
+  /// Gateway only: where a load balancer asks whether to send callers.
+  std::string ReadyListen;
+  /// Gateway only: where metrics are served besides the inner address.
+  std::string MetricsListen;
+  /// Gateway only: longest time from SIGTERM to the end of the process.
+  milliseconds StopTimeout{7500};
   /// Bound on the moves of one slow sample; 0 leaves each where it started.
   unsigned StragglerMoves = 2;
 };
 
+std::string_view roleName(daemon_role Role);
+
 struct parse_result {
   /// Whether to run with Settings; otherwise print Text and exit with ExitCode.
   bool Run = false;
--- a/settings/setting_reader.cpp
+++ b/settings/setting_reader.cpp
@@ -12,7 +12,10 @@
 constexpr uint64_t MaxDrainNoticeMs = 60000;
 /// A renewal takes a third of the lease; below 2 s a slow store would end it.
 constexpr uint64_t MinLeaseMs = 2000;
+/// A gateway renews only when it gives orders, and tolerates a lapse.
+constexpr uint64_t MinPoolLeaseMs = 1000;
 constexpr uint64_t MaxLeaseMs = 60000;
+constexpr uint64_t MaxStopTimeoutMs = 600000;
 constexpr uint64_t MinHttpThreads = 4;
 constexpr uint64_t MaxHttpThreads = 1024;
 constexpr uint64_t MaxRetainedMib = 1024;
@@ -42,7 +45,13 @@
   if (!readRole(Settings.Role))
     return Settings;
   readPlace(Settings);
+  if (Settings.Role == daemon_role::Reserve) {
+    Settings.LogLevel = logLevel();
+    return Settings;
+  }
   readNetwork(Settings);
+  if (Settings.Role == daemon_role::Gateway)
+    readGateway(Settings);
   if (Settings.Role == daemon_role::Agent)
     readAgent(Settings);
   else
@@ -54,12 +63,15 @@
 
 bool setting_reader::readRole(daemon_role &Role) {
   const std::string &Text = text(setting_id::Role);
-  if (Text != "entry" && Text != "agent") {
-    refuse(setting_id::Role, "entry or agent");
-    return false;
+  for (const daemon_role Known : {daemon_role::Entry, daemon_role::Agent,
+                                  daemon_role::Gateway, daemon_role::Reserve}) {
+    if (Text != roleName(Known))
+      continue;
+    Role = Known;
+    return true;
   }
-  Role = Text == "agent" ? daemon_role::Agent : daemon_role::Entry;
-  return true;
+  refuse(setting_id::Role, "entry, agent, gateway or reserve");
+  return false;
 }
 
 void setting_reader::readPlace(daemon_settings &Settings) {
@@ -70,13 +82,22 @@
 
 void setting_reader::readNetwork(daemon_settings &Settings) {
   Settings.InnerListen = address(setting_id::InnerListen);
-  const bool NeedsHttp = Settings.Role == daemon_role::Entry;
+  const bool NeedsHttp = Settings.Role != daemon_role::Agent;
   if (NeedsHttp || !text(setting_id::HttpListen).empty())
     Settings.HttpListen = address(setting_id::HttpListen);
   Settings.Store = address(setting_id::Store);
   Settings.SeedPeers = addressList(setting_id::SeedPeers);
 }
 
+void setting_reader::readGateway(daemon_settings &Settings) {
+  Settings.ReadyListen = address(setting_id::ReadyListen);
+  if (!text(setting_id::MetricsListen).empty())
+    Settings.MetricsListen = address(setting_id::MetricsListen);
+  Settings.StopTimeout = milliseconds(
+      number(setting_id::StopTimeoutMs,
+             {.Unit = "milliseconds", .Min = 0, .Max = MaxStopTimeoutMs}));
+}
+
 void setting_reader::readAgent(daemon_settings &Settings) {
   Settings.Upstream = address(setting_id::Upstream);
   Settings.OrderPort = uint16_t(number(
@@ -86,7 +107,7 @@
 void setting_reader::refuseAgentSettings() {
   for (const setting_id Id : {setting_id::Upstream, setting_id::OrderPort}) {
     if (!text(Id).empty())
-      refuse(Id, "no value for role entry; only an agent has an upstream");
+      refuse(Id, "no value for this role; only an agent has an upstream");
   }
 }
 
@@ -98,7 +119,10 @@
              {.Unit = "milliseconds", .Min = 0, .Max = MaxDrainNoticeMs}));
   Settings.Lease = milliseconds(
       number(setting_id::LeaseMs,
-             {.Unit = "milliseconds", .Min = MinLeaseMs, .Max = MaxLeaseMs}));
+             {.Unit = "milliseconds",
+              .Min = Settings.Role == daemon_role::Gateway ? MinPoolLeaseMs
+                                                           : MinLeaseMs,
+              .Max = MaxLeaseMs}));
   Settings.HttpThreads = unsigned(number(
       setting_id::HttpThreads,
       {.Unit = "threads", .Min = MinHttpThreads, .Max = MaxHttpThreads}));
--- a/settings/setting_table.cpp
+++ b/settings/setting_table.cpp
@@ -6,7 +6,7 @@
 namespace cardamom {
 
 static constexpr std::array<setting_spec, size_t(setting_id::Count)> Table = {{
-    {setting_id::Role, "role", "", "entry or agent"},
+    {setting_id::Role, "role", "", "entry, agent, gateway or reserve"},
     {setting_id::Name, "name", "",
      "name of this entry, or of the agent's upstream, in the inventory"},
     {setting_id::FailureDomain, "failure-domain", "",
@@ -38,6 +38,12 @@
      "KiB of the largest request body"},
     {setting_id::StragglerMoves, "straggler-moves", "2",
      "moves of a slow sample to another upstream; 0 = none"},
+    {setting_id::ReadyListen, "ready-listen", "",
+     "IP:port that tells a load balancer whether to send callers (gateway)"},
+    {setting_id::MetricsListen, "metrics-listen", "",
+     "IP:port of metrics, besides the inner address (gateway)"},
+    {setting_id::StopTimeoutMs, "stop-timeout-ms", "7500",
+     "ms from SIGTERM to the end of the process at most (gateway)"},
 }};
 
 std::span<const setting_spec> settingTable() { return Table; }
--- a/settings/setting_table.h
+++ b/settings/setting_table.h
@@ -30,6 +30,9 @@
   RetainedAnswersMib,
   MaxBodyKib,
   StragglerMoves,
+  ReadyListen,
+  MetricsListen,
+  StopTimeoutMs,
   Count
 };
 
--- /dev/null
+++ b/store/object_link.cpp
@@ -0,0 +1,90 @@
+#include "store/object_link.h"
+
+#include "http/event_loop.h"
+
+namespace cardamom {
+
+std::string_view toString(object_outcome Outcome) {
+  switch (Outcome) {
+  case object_outcome::Done:
+    return "done";
+  case object_outcome::NotFound:
+    return "not_found";
+  case object_outcome::Conflict:
+    return "conflict";
+  case object_outcome::Refused:
+    return "refused";
+  case object_outcome::Invalid:
+    return "invalid";
+  case object_outcome::HistoryGone:
+    return "history_gone";
+  case object_outcome::Unknown:
+    break;
+  }
+  return "unknown";
+}
+
+static bool isAnswer(object_outcome Outcome) {
+  return Outcome != object_outcome::Refused &&
+         Outcome != object_outcome::Unknown;
+}
+
+object_link::object_link(event_loop &Loop, object_link_options Options)
+    : Loop(Loop), Options(std::move(Options)) {}
+
+object_link::~object_link() = default;
+
+void object_link::call(const object_request &Request, object_callback Done) {
+  ++Calls;
+  Options.Send(Request, [this, Weak = std::weak_ptr<bool>(Alive),
+                         Done = std::move(Done)](const object_reply &Reply) {
+    if (Weak.expired())
+      return;
+    note(Reply);
+    Done(Reply);
+  });
+}
+
+void object_link::note(const object_reply &Reply) {
+  const time_point Now = event_loop::now();
+  if (!isAnswer(Reply.Outcome)) {
+    if (!Reachable)
+      return;
+    Reachable = false;
+    LostAt = Now;
+    if (Options.OnChange)
+      Options.OnChange(false, Reply.Detail);
+    probeLater();
+    return;
+  }
+  LastAnswer = Now;
+  if (Reachable)
+    return;
+  Reachable = true;
+  BackAt = Now;
+  ProbeTimer.reset();
+  if (Options.OnChange)
+    Options.OnChange(true, {});
+  const auto Tasks = std::move(Waiting);
+  Waiting.clear();
+  for (const std::function<void()> &Task : Tasks)
+    Loop.post(Task);
+}
+
+void object_link::probeLater() {
+  ProbeTimer = Loop.after(Options.ProbeInterval, [this] {
+    call(Options.Probe, [this](const object_reply & /*Reply*/) {
+      if (!Reachable)
+        probeLater();
+    });
+  });
+}
+
+void object_link::whenReachable(std::function<void()> Task) {
+  if (Reachable)
+    Loop.post(std::move(Task));
+  else
+    Waiting.push_back(std::move(Task));
+}
+
+} // namespace cardamom
--- /dev/null
+++ b/store/object_watcher.cpp
@@ -0,0 +1,115 @@
+#include "store/object_watcher.h"
+
+#include "base/log.h"
+#include "http/event_loop.h"
+
+#include <algorithm>
+
+namespace cardamom {
+
+object_watcher::object_watcher(event_loop &Loop, object_link &Link,
+                               object_watcher_options Options)
+    : Loop(Loop), Link(Link), Options(std::move(Options)) {}
+
+object_watcher::~object_watcher() = default;
+
+void object_watcher::start() {
+  Alive = std::make_shared<bool>(true);
+  list();
+}
+
+void object_watcher::stop() {
+  Alive.reset();
+  Retry.reset();
+  Ready = false;
+}
+
+object_callback
+object_watcher::guarded(void (object_watcher::*Handler)(const object_reply &)) {
+  return [this, Weak = std::weak_ptr<bool>(Alive),
+          Handler](const object_reply &Reply) {
+    if (!Weak.expired())
+      (this->*Handler)(Reply);
+  };
+}
+
+void object_watcher::later(void (object_watcher::*Next)()) {
+  Retry = Loop.after(Options.RetryDelay, [this, Next] {
+    Link.whenReachable([this, Weak = std::weak_ptr<bool>(Alive), Next] {
+      if (!Weak.expired())
+        (this->*Next)();
+    });
+  });
+}
+
+void object_watcher::list() {
+  Listed.clear();
+  ListRevision = 0;
+  listPage({});
+}
+
+void object_watcher::listPage(const std::string &After) {
+  Link.call({.Op = object_op::List, .Kind = Options.Kind, .After = After},
+            guarded(&object_watcher::onPage));
+}
+
+void object_watcher::onPage(const object_reply &Reply) {
+  if (Reply.Outcome != object_outcome::Done) {
+    later(&object_watcher::list);
+    return;
+  }
+  // Changes between two pages are seen again by a watch from the first page's
+  // revision.
+  if (ListRevision == 0)
+    ListRevision = Reply.StoreRevision;
+  Listed.insert(Listed.end(), Reply.Objects.begin(), Reply.Objects.end());
+  if (Reply.More && !Reply.Objects.empty()) {
+    listPage(Reply.Objects.back().Name);
+    return;
+  }
+  Revision = ListRevision;
+  Ready = true;
+  const std::vector<stored_object> All = std::move(Listed);
+  Listed.clear();
+  const std::weak_ptr<bool> Weak = Alive;
+  Options.OnSnapshot(All);
+  if (!Weak.expired())
+    watch();
+}
+
+void object_watcher::watch() {
+  WatchSentAt = event_loop::now();
+  Link.call({.Op = object_op::Watch,
+             .Kind = Options.Kind,
+             .Since = Revision,
+             .Wait = Options.Wait},
+            guarded(&object_watcher::onWatch));
+}
+
+void object_watcher::onWatch(const object_reply &Reply) {
+  if (Reply.Outcome == object_outcome::HistoryGone) {
+    logState("watch_history_gone",
+             {{"kind", Options.Kind}, {"since", std::to_string(Revision)}});
+    list();
+    return;
+  }
+  if (Reply.Outcome != object_outcome::Done) {
+    later(&object_watcher::watch);
+    return;
+  }
+  const std::weak_ptr<bool> Weak = Alive;
+  for (const stored_object &Object : Reply.Objects) {
+    Options.OnChange(Object);
+    if (Weak.expired())
+      return;
+  }
+  Revision = std::max(Revision, Reply.StoreRevision);
+  // A store that answers without waiting must not be called in a loop.
+  if (Reply.Objects.empty() &&
+      event_loop::now() - WatchSentAt < Options.RetryDelay)
+    later(&object_watcher::watch);
+  else
+    watch();
+}
+
+} // namespace cardamom
