--- a/http/http_server.h
+++ b/http/http_server.h
@@ -44,6 +44,9 @@
   [[nodiscard]] const http_request &request() const { return Request; }
   [[nodiscard]] time_point receivedAt() const { return ReceivedAt; }
 
+  /// Handles the request as one for another target.
+  void setTarget(std::string Target) { Request.Target = std::move(Target); }
+
   void answer(http_response Response);
   /// Sends status and headers of a response whose body follows in chunks.
   void startStream(http_response Head);
--- a/jobs/inner_paths.h
+++ b/jobs/inner_paths.h
@@ -8,7 +8,8 @@
 
 namespace cardamom {
 
-/// GET ?pool=P: 200 while the process schedules the jobs of the pool.
+/// GET ?pool=P: 200 while the process schedules the jobs of the pool, 503 when
+/// it holds the lease but cannot serve, 404 when it does not hold the lease.
 inline constexpr std::string_view InnerAlivePath = "/inner/alive";
 /// GET ?pool=P&job=J&after=N&wait_ms=W: a page of results; 404 when the
 /// scheduler does not have the job.
@@ -16,6 +17,11 @@
 /// POST ?pool=P&job=J: the job has been ended in the store.
 inline constexpr std::string_view InnerEndPath = "/inner/end";
 
+/// Any method, followed by the target of a caller's request: a call on a batch
+/// job that the sender cannot serve because it has lost the store. It is not
+/// passed on again.
+inline constexpr std::string_view InnerForwardPrefix = "/inner/forward";
+
 } // namespace cardamom
 
 #endif // CARDAMOM_JOBS_INNER_PATHS_H
--- a/jobs/job_desk.cpp
+++ b/jobs/job_desk.cpp
@@ -24,17 +24,27 @@
 static constexpr std::string_view Bytes = "application/octet-stream";
 /// Pause before a submission without an outcome is tried again.
 static constexpr milliseconds SubmitRetryDelay{40};
-/// A scheduler of this process that does not know a job may be about to see
-/// it; the reader is told to come back.
 static constexpr milliseconds EndNoticeTimeout{500};
 
-struct job_desk::submission {
+/// A call on its way through the desk.
+struct job_desk::visit {
   exchange_ptr Exchange;
   std::string JobId;
+  job_call Call;
+  /// Pools whose schedulers have not been asked yet.
+  std::vector<std::string> Pools;
+  bool Forwarded = false;
+  /// Gateways that have not been asked yet.
+  std::vector<std::string> Peers;
+  bool PeersChosen = false;
+  /// The call is a submission that may have been stored, or may yet be.
+  bool MayBeStored = false;
+};
+
+struct job_desk::submission {
+  visit_ptr Visit;
   object_request Request;
   time_point StartedAt;
-  /// A try may have been done, or may be done later.
-  bool MayBeStored = false;
   timer_handle Retry;
 };
 
@@ -63,18 +73,90 @@
                .JobKind = this->Options.JobKind,
                .ResultKind = this->Options.ResultKind}) {}
 
-void job_desk::unavailable(const exchange_ptr &Exchange,
-                           std::string_view Reason) {
+void job_desk::unavailable(const visit_ptr &Visit, std::string_view Reason) {
   metrics::get().counter("job_calls_refused_total", "reason", Reason).add();
-  Exchange->answer(
+  logState("job_call_refused",
+           {{"job", Visit->JobId},
+            {"reason", std::string(Reason)},
+            {"may_be_stored", Visit->MayBeStored ? "yes" : "no"}});
+  if (Visit->MayBeStored) {
+    // Neither "accepted" nor "not run" is known to be true.
+    answer(Visit->Exchange, StatusTimeout, errorBody(Reason), Json);
+    return;
+  }
+  Visit->Exchange->answer(
       {.Status = StatusUnavailable,
        .Headers = {{"Content-Type", std::string(Json)},
                    {"Retry-After", seconds(Options.RetryHint)}},
        .Body = errorBody(Reason)});
 }
 
+void job_desk::fetch(
+    const std::string &Address, const http_request &Request,
+    milliseconds Timeout,
+    std::function<void(const call_end &, http_response)> Done) {
+  const uint64_t Id = NextCall++;
+  Calls[Id] = Options.Client.fetch(
+      Address, Request, Timeout,
+      [this, Weak = std::weak_ptr<bool>(Alive), Id,
+       Done = std::move(Done)](const call_end &End, http_response Response) {
+        if (Weak.expired())
+          return;
+        const call_handle Finished = std::move(Calls[Id]);
+        Calls.erase(Id);
+        Done(End, std::move(Response));
+      });
+}
+
+void job_desk::passOn(const visit_ptr &Visit, std::string_view Reason) {
+  if (!Visit->PeersChosen && !Visit->Forwarded) {
+    Visit->Peers = Options.Peers();
+    if (Visit->Peers.size() > Options.MaxForwards)
+      Visit->Peers.resize(Options.MaxForwards);
+    // The scheduler most likely has the store.
+    for (const std::string &Pool : Visit->Pools) {
+      const pool_role *Role = Options.FindPool(Pool);
+      if (!Role || Role->schedulerAddress().empty())
+        continue;
+      std::erase(Visit->Peers, Role->schedulerAddress());
+      Visit->Peers.push_back(Role->schedulerAddress());
+    }
+    Visit->PeersChosen = true;
+  }
+  askPeer(Visit, Reason);
+}
+
+void job_desk::askPeer(const visit_ptr &Visit, std::string_view Reason) {
+  if (Visit->Peers.empty()) {
+    unavailable(Visit, Reason);
+    return;
+  }
+  const std::string Address = std::move(Visit->Peers.back());
+  Visit->Peers.pop_back();
+  http_request Request = Visit->Exchange->request();
+  Request.Target = std::string(InnerForwardPrefix) + Request.Target;
+  Request.Headers.removeConnectionHeaders();
+  logState("job_call_forwarded",
+           {{"job", Visit->JobId}, {"to", Address}});
+  metrics::get().counter("job_calls_forwarded_total").add();
+  fetch(Address, Request, Visit->Call.Wait + Options.ForwardTimeout,
+        [this, Visit, Reason = std::string(Reason)](const call_end &End,
+                                                    http_response Response) {
+          if (End.Result == call_result::Complete &&
+              Response.Status != StatusUnavailable) {
+            Response.Headers.removeConnectionHeaders();
+            Visit->Exchange->answer(std::move(Response));
+            return;
+          }
+          if (End.Result != call_result::Complete &&
+              End.Result != call_result::NotConnected)
+            Visit->MayBeStored |= Visit->Exchange->request().Method == "POST";
+          askPeer(Visit, Reason);
+        });
+}
+
 void job_desk::submit(const exchange_ptr &Exchange, const route &Route,
-                      const std::string &RequestId) {
+                      const std::string &RequestId, bool Forwarded) {
   try {
     const job Job = Options.Protocols.DecodeJob(Exchange->request().Body);
     if (RequestId.empty())
@@ -86,9 +168,18 @@
     answer(Exchange, StatusBadRequest, errorBody(Error.what()), Json);
     return;
   }
+  const std::string &Pool = Route.Services.front().Service;
+  auto Visit = std::make_shared<visit>();
+  Visit->Exchange = Exchange;
+  Visit->JobId = RequestId;
+  Visit->Pools = {Pool};
+  Visit->Forwarded = Forwarded;
+  if (!Options.Link.reachable()) {
+    passOn(Visit, "store_lost");
+    return;
+  }
   auto Submission = std::make_shared<submission>();
-  Submission->Exchange = Exchange;
-  Submission->JobId = RequestId;
+  Submission->Visit = Visit;
   Submission->StartedAt = event_loop::now();
   Submission->Request = {
       .Op = object_op::Create,
@@ -97,14 +188,9 @@
       .Value = encodeJobDocument(
           {.Host = std::string(Exchange->request().Headers.get("Host")),
            .Target = Exchange->request().Target,
-           .Pool = Route.Services.front().Service,
+           .Pool = Pool,
            .SubmittedAtMs = Options.UnixNow(),
            .Submission = Exchange->request().Body})};
-  if (!Options.Link.reachable()) {
-    logState("job_refused", {{"job", RequestId}, {"reason", "store_lost"}});
-    unavailable(Exchange, "store_lost");
-    return;
-  }
   create(Submission);
 }
 
@@ -119,172 +205,160 @@
 
 void job_desk::onCreated(const std::shared_ptr<submission> &Submission,
                          const object_reply &Reply) {
-  const exchange_ptr &Exchange = Submission->Exchange;
-  const auto Log = [&](std::string_view Event) {
-    logState(Event, {{"job", Submission->JobId},
-                     {"outcome", std::string(toString(Reply.Outcome))},
-                     {"detail", Reply.Detail}});
-  };
+  const visit_ptr &Visit = Submission->Visit;
+  const exchange_ptr &Exchange = Visit->Exchange;
+  logState("job_stored", {{"job", Visit->JobId},
+                          {"outcome", std::string(toString(Reply.Outcome))},
+                          {"detail", Reply.Detail}});
   switch (Reply.Outcome) {
   case object_outcome::Done:
   case object_outcome::Conflict:
-    Log("job_accepted");
     answer(Exchange, StatusAccepted, "{}", Json);
     return;
   case object_outcome::Invalid:
-    Log("job_too_large");
     answer(Exchange, StatusTooLarge, errorBody("the store refuses the job"),
            Json);
     return;
   case object_outcome::Unknown:
-    Submission->MayBeStored = true;
+    Visit->MayBeStored = true;
     break;
   case object_outcome::Refused:
   case object_outcome::NotFound:
   case object_outcome::HistoryGone:
     break;
   }
-  if (!Submission->MayBeStored) {
-    Log("job_refused");
-    unavailable(Exchange, "store_refused");
+  const bool InTime =
+      event_loop::now() - Submission->StartedAt < Options.SubmitPatience;
+  if (!InTime || !Options.Link.reachable()) {
+    passOn(Visit, "store_lost");
     return;
   }
-  if (event_loop::now() - Submission->StartedAt > Options.SubmitPatience) {
-    // Neither accepted nor "not run" would be known to be true.
-    Log("job_outcome_unknown");
-    answer(Exchange, StatusTimeout, errorBody("the store does not answer"),
-           Json);
-    return;
-  }
-  Submission->Retry =
-      Options.Loop.after(SubmitRetryDelay, [this, Submission] {
-        const timer_handle Timer = std::move(Submission->Retry);
-        create(Submission);
-      });
+  Submission->Retry = Options.Loop.after(SubmitRetryDelay, [this, Submission] {
+    const timer_handle Timer = std::move(Submission->Retry);
+    create(Submission);
+  });
 }
 
 void job_desk::call(const exchange_ptr &Exchange, const job_call &Call,
-                    std::vector<std::string> Pools) {
+                    std::vector<std::string> Pools, bool Forwarded) {
+  auto Visit = std::make_shared<visit>();
+  Visit->Exchange = Exchange;
+  Visit->JobId = Call.JobId;
+  Visit->Call = Call;
+  Visit->Pools = std::move(Pools);
+  Visit->Forwarded = Forwarded;
   switch (Call.Kind) {
   case job_call_kind::Read:
-    read(Exchange, Call, std::move(Pools));
+    read(Visit);
     return;
   case job_call_kind::End:
-    end(Exchange, Call, Pools);
+    end(Visit);
     return;
   case job_call_kind::ItemBody:
-    Archive.itemBody(Call, [this, Exchange](const archive_reply &Reply) {
-      answerArchive(Exchange, Reply, Bytes);
+    Archive.itemBody(Call, [this, Visit](const archive_reply &Reply) {
+      answerArchive(Visit, Reply, Bytes);
     });
     return;
   }
 }
 
-void job_desk::answerArchive(const exchange_ptr &Exchange,
+void job_desk::answerArchive(const visit_ptr &Visit,
                              const archive_reply &Reply,
                              std::string_view ContentType) {
   switch (Reply.Status) {
   case archive_status::Found:
-    answer(Exchange, StatusOk, Reply.Body, ContentType);
+    answer(Visit->Exchange, StatusOk, Reply.Body, ContentType);
     return;
   case archive_status::NotFound:
-    answer(Exchange, StatusNotFound, errorBody("no such job or item"), Json);
+    answer(Visit->Exchange, StatusNotFound, errorBody("no such job or item"),
+           Json);
     return;
   case archive_status::Unavailable:
-    unavailable(Exchange, "store_lost");
+    passOn(Visit, "store_lost");
     return;
   }
 }
 
-void job_desk::read(const exchange_ptr &Exchange, const job_call &Call,
-                    std::vector<std::string> Pools) {
-  if (Pools.empty()) {
-    readArchive(Exchange, Call);
+void job_desk::read(const visit_ptr &Visit) {
+  if (Visit->Pools.empty()) {
+    readArchive(Visit);
     return;
   }
-  const std::string Pool = Pools.back();
-  Pools.pop_back();
+  const std::string Pool = Visit->Pools.back();
+  Visit->Pools.pop_back();
   pool_role *Role = Options.FindPool(Pool);
-  if (!Role) {
-    read(Exchange, Call, std::move(Pools));
-    return;
-  }
-  if (job_scheduler *Scheduler = Role->scheduler()) {
-    Scheduler->read(Call, [this, Exchange, Call, Pools](
-                              bool Known, const std::string &Page) {
-      if (Known)
-        answer(Exchange, StatusOk, Page, Json);
-      else
-        read(Exchange, Call, Pools);
-    });
+  job_scheduler *Scheduler = Role ? Role->scheduler() : nullptr;
+  if (Scheduler) {
+    Scheduler->read(Visit->Call,
+                    [this, Visit](bool Known, const std::string &Page) {
+                      if (Known)
+                        answer(Visit->Exchange, StatusOk, Page, Json);
+                      else
+                        read(Visit);
+                    });
     return;
   }
-  const std::string Address = Role->schedulerAddress();
+  const std::string Address = Role ? Role->schedulerAddress() : std::string();
   if (Address.empty())
-    read(Exchange, Call, std::move(Pools));
+    read(Visit);
   else
-    forwardRead(Exchange, Call, Address, Pool, std::move(Pools));
+    askScheduler(Visit, Address, Pool);
 }
 
-void job_desk::forwardRead(const exchange_ptr &Exchange, const job_call &Call,
-                           const std::string &Address, const std::string &Pool,
-                           std::vector<std::string> MorePools) {
+void job_desk::askScheduler(const visit_ptr &Visit, const std::string &Address,
+                            const std::string &Pool) {
+  const job_call &Call = Visit->Call;
   const http_request Question{
       .Method = "GET",
-      .Target = std::string(InnerResultsPath) + "?pool=" +
-                percentEncode(Pool) + "&job=" + percentEncode(Call.JobId) +
+      .Target = std::string(InnerResultsPath) +
+                "?pool=" + percentEncode(Pool) +
+                "&job=" + percentEncode(Call.JobId) +
                 "&after=" + std::to_string(Call.After) +
                 "&wait_ms=" + std::to_string(Call.Wait.count()),
       .Headers = {{"Host", Address}},
       .Body = {}};
-  const uint64_t Id = NextCall++;
-  Calls[Id] = Options.Client.fetch(
-      Address, Question, Call.Wait + Options.ForwardTimeout,
-      [this, Weak = std::weak_ptr<bool>(Alive), Id, Exchange, Call,
-       MorePools = std::move(MorePools)](const call_end &End,
-                                         http_response Response) {
-        if (Weak.expired())
-          return;
-        const call_handle Finished = std::move(Calls[Id]);
-        Calls.erase(Id);
-        if (End.Result == call_result::Complete &&
-            Response.Status == StatusOk) {
-          answer(Exchange, StatusOk, std::move(Response.Body), Json);
-          return;
-        }
-        read(Exchange, Call, MorePools);
-      });
+  fetch(Address, Question, Call.Wait + Options.ForwardTimeout,
+        [this, Visit](const call_end &End, http_response Response) {
+          if (End.Result == call_result::Complete &&
+              Response.Status == StatusOk)
+            answer(Visit->Exchange, StatusOk, std::move(Response.Body), Json);
+          else
+            read(Visit);
+        });
 }
 
-void job_desk::readArchive(const exchange_ptr &Exchange,
-                           const job_call &Call) {
-  Archive.read(Call, [this, Exchange](const archive_reply &Reply) {
-    answerArchive(Exchange, Reply, Json);
+void job_desk::readArchive(const visit_ptr &Visit) {
+  Archive.read(Visit->Call, [this, Visit](const archive_reply &Reply) {
+    answerArchive(Visit, Reply, Json);
   });
 }
 
-void job_desk::end(const exchange_ptr &Exchange, const job_call &Call,
-                   const std::vector<std::string> &Pools) {
+void job_desk::end(const visit_ptr &Visit) {
+  if (!Options.Link.reachable()) {
+    passOn(Visit, "store_lost");
+    return;
+  }
   Options.Link.call(
       {.Op = object_op::ReplaceStatus,
        .Kind = Options.JobKind,
-       .Name = Call.JobId,
+       .Name = Visit->JobId,
        .Value = endedStatus()},
-      [this, Weak = std::weak_ptr<bool>(Alive), Exchange, Call,
-       Pools](const object_reply &Reply) {
+      [this, Weak = std::weak_ptr<bool>(Alive),
+       Visit](const object_reply &Reply) {
         if (Weak.expired())
           return;
         logState("job_end",
-                 {{"job", Call.JobId},
+                 {{"job", Visit->JobId},
                   {"outcome", std::string(toString(Reply.Outcome))},
                   {"detail", Reply.Detail}});
         if (Reply.Outcome == object_outcome::Done) {
-          answer(Exchange, StatusOk, "{}", Json);
-          notifyEnd(Call.JobId, Pools);
+          answer(Visit->Exchange, StatusOk, "{}", Json);
+          notifyEnd(Visit->JobId, Visit->Pools);
         } else if (Reply.Outcome == object_outcome::NotFound) {
-          answer(Exchange, StatusNotFound, errorBody("no such job"), Json);
+          answer(Visit->Exchange, StatusNotFound, errorBody("no such job"),
+                 Json);
         } else {
-          unavailable(Exchange, "store_lost");
+          passOn(Visit, "store_lost");
         }
       });
 }
@@ -310,16 +384,8 @@
                                         "&job=" + percentEncode(JobId),
                               .Headers = {{"Host", Address}},
                               .Body = {}};
-    const uint64_t Id = NextCall++;
-    Calls[Id] = Options.Client.fetch(
-        Address, Notice, EndNoticeTimeout,
-        [this, Weak = std::weak_ptr<bool>(Alive),
-         Id](const call_end & /*End*/, const http_response & /*Response*/) {
-          if (Weak.expired())
-            return;
-          const call_handle Finished = std::move(Calls[Id]);
-          Calls.erase(Id);
-        });
+    fetch(Address, Notice, EndNoticeTimeout,
+          [](const call_end & /*End*/, const http_response & /*Response*/) {});
   }
 }
 
--- a/jobs/job_desk.h
+++ b/jobs/job_desk.h
@@ -23,6 +23,7 @@
 
 class client_call_state;
 class pool_role;
+struct call_end;
 
 struct job_desk_options {
   event_loop &Loop;
@@ -33,6 +34,8 @@
   std::string ResultKind;
   /// Null when this gateway does not know the pool.
   std::function<pool_role *(const std::string &Pool)> FindPool;
+  /// Inner addresses of other gateways, in the order in which they are asked.
+  std::function<std::vector<std::string>()> Peers;
   /// Unix milliseconds.
   std::function<uint64_t()> UnixNow;
   /// How long a submission is tried when the store does not say what became
@@ -42,37 +45,48 @@
   milliseconds RetryHint{500};
   /// Beyond the wait that the reader asked for.
   milliseconds ForwardTimeout{600};
+  /// Other gateways that are asked to serve a call when this one has lost the
+  /// store.
+  unsigned MaxForwards = 2;
 };
 
 class job_desk {
 public:
   explicit job_desk(job_desk_options Options);
 
+  /// Forwarded: the call comes from another gateway, and is not passed on.
   void submit(const exchange_ptr &Exchange, const route &Route,
-              const std::string &RequestId);
+              const std::string &RequestId, bool Forwarded);
   /// Pools: services of the rollout routes on the call's host.
   void call(const exchange_ptr &Exchange, const job_call &Call,
-            std::vector<std::string> Pools);
+            std::vector<std::string> Pools, bool Forwarded);
 
 private:
   struct submission;
+  struct visit;
+  using visit_ptr = std::shared_ptr<visit>;
 
   void create(const std::shared_ptr<submission> &Submission);
   void onCreated(const std::shared_ptr<submission> &Submission,
                  const object_reply &Reply);
-  void read(const exchange_ptr &Exchange, const job_call &Call,
-            std::vector<std::string> Pools);
-  void forwardRead(const exchange_ptr &Exchange, const job_call &Call,
-                   const std::string &Address, const std::string &Pool,
-                   std::vector<std::string> MorePools);
-  void readArchive(const exchange_ptr &Exchange, const job_call &Call);
-  void end(const exchange_ptr &Exchange, const job_call &Call,
-           const std::vector<std::string> &Pools);
+  void read(const visit_ptr &Visit);
+  void askScheduler(const visit_ptr &Visit, const std::string &Address,
+                    const std::string &Pool);
+  void readArchive(const visit_ptr &Visit);
+  void end(const visit_ptr &Visit);
   void notifyEnd(const std::string &JobId,
                  const std::vector<std::string> &Pools);
-  void answerArchive(const exchange_ptr &Exchange, const archive_reply &Reply,
+  void answerArchive(const visit_ptr &Visit, const archive_reply &Reply,
                      std::string_view ContentType);
-  void unavailable(const exchange_ptr &Exchange, std::string_view Reason);
+  /// Passes a call that needs the store to another gateway; answers
+  /// "unavailable" when none serves it.
+  void passOn(const visit_ptr &Visit, std::string_view Reason);
+  void askPeer(const visit_ptr &Visit, std::string_view Reason);
+  void unavailable(const visit_ptr &Visit, std::string_view Reason);
+  /// Starts a call between gateways; Done gets its outcome.
+  void fetch(const std::string &Address, const http_request &Request,
+             milliseconds Timeout,
+             std::function<void(const call_end &, http_response)> Done);
 
   job_desk_options Options;
   job_archive Archive;
--- a/jobs/job_scheduler.cpp
+++ b/jobs/job_scheduler.cpp
@@ -13,9 +13,11 @@
 namespace cardamom {
 
 /// How often runs are checked for stalls and items for their time limit.
-static constexpr milliseconds TickInterval{250};
+static constexpr milliseconds TickInterval{200};
 /// Pause before a failed item or scoring call is tried again.
 static constexpr milliseconds FailurePause{50};
+/// Pause before a scoring call whose route is missing is tried again.
+static constexpr milliseconds MissingRoutePause{500};
 /// Output tokens of an item without an estimate, until some have finished.
 static constexpr double InitialMeanTokens = 500;
 /// Weight of a finished item in the mean of output tokens.
@@ -26,6 +28,11 @@
 static constexpr milliseconds MinScoringPatience{600};
 /// Runs with fewer events say little about a replica's speed.
 static constexpr uint64_t MinEventsForSpeed = 3;
+/// Share of the text so far by which an item that has outrun its estimate is
+/// expected to go on.
+static constexpr double OverrunShare = 0.3;
+/// A run is not moved before it has shown some speed.
+static constexpr milliseconds MinRunBeforeMove{300};
 /// Wall clocks of two VMs may differ by about this much.
 static constexpr uint64_t ClockSlackMs = 500;
 
@@ -41,6 +48,9 @@
   bool Spare = false;
   time_point NotBefore{};
   std::string LastReplica;
+  /// Events of the run, and their time, that speed was learned from.
+  uint64_t SeenEvents = 0;
+  time_point SeenAt{};
   std::unique_ptr<item_run> Run;
   plain_run_ptr Scoring;
   timer_handle Retry;
@@ -82,13 +92,19 @@
       Reader->Done(false, {});
 }
 
-std::function<void(std::function<void()>)> job_scheduler::guard() {
+std::function<void(const std::function<void()> &)> job_scheduler::guard() {
   return [Weak = std::weak_ptr<bool>(Alive)](const std::function<void()> &Do) {
     if (!Weak.expired())
       Do();
   };
 }
 
+timer_handle job_scheduler::later(milliseconds Delay,
+                                  std::function<void()> Task) {
+  return Options.Loop.after(
+      Delay, [Guard = guard(), Task = std::move(Task)] { Guard(Task); });
+}
+
 bool job_scheduler::knows(std::string_view Id) const {
   return Jobs.find(Id) != Jobs.end();
 }
@@ -154,7 +170,7 @@
             return;
           }
           if (Reply.Outcome != object_outcome::NotFound) {
-            Job->FlushTimer = Options.Loop.after(FailurePause, [this, Job] {
+            Job->FlushTimer = later(FailurePause, [this, Job] {
               Options.Link.whenReachable([this, Guard = guard(), Job] {
                 Guard([&] { loadResults(Job); });
               });
@@ -210,6 +226,36 @@
   return Expected;
 }
 
+double job_scheduler::remainingTokens(const item_state &Item) const {
+  const double Done = double(Item.Text.Events) * tokensPerEvent();
+  // Lengths have a heavy tail: what has outrun its estimate goes on for some
+  // while.
+  return std::max({expectedTokens(Item) - Done, Done * OverrunShare,
+                   tokensPerEvent()});
+}
+
+uint64_t job_scheduler::exactVersion(const item_state &Item) {
+  return Item.Job->SingleVersion && !Item.Text.Versions.empty()
+             ? *Item.Text.Versions.begin()
+             : 0;
+}
+
+/// Text of a version that no replica has any more cannot go on where all of
+/// it must come from one version.
+void job_scheduler::restartIfVersionGone(item_state &Item) {
+  const uint64_t Version = exactVersion(Item);
+  if (Version == 0)
+    return;
+  for (const replica *Replica : Options.Directory.listed(Options.Pool)) {
+    const auto It = Replica->Versions.find(Item.Job->Job.Model);
+    if (It != Replica->Versions.end() && It->second == Version)
+      return;
+  }
+  logState("item_restarted",
+           {{"item", Item.Item->Id}, {"version", std::to_string(Version)}});
+  Item.Text = {};
+}
+
 void job_scheduler::scheduleSoon() {
   if (SchedulePending)
     return;
@@ -237,15 +283,15 @@
     for (const auto &Item : Job->Items) {
       if (Item->Phase != item_phase::Waiting || Now < Item->NotBefore)
         continue;
-      const double Done = double(Item->Text.Events) * tokensPerEvent();
+      restartIfVersionGone(*Item);
       Waiting.push_back(
           {.Index = Candidates.size(),
            .Model = Job->Job.Model,
            .MinVersion = Job->Job.MinVersion,
-           .RemainingTokens =
-               std::max(expectedTokens(*Item) - Done, tokensPerEvent()),
+           .RemainingTokens = remainingTokens(*Item),
            .Spare = Item->Spare,
            .DueAt = Job->DueAt,
+           .ExactVersion = exactVersion(*Item),
            .Avoid = Item->LastReplica});
       Candidates.push_back(Item.get());
     }
@@ -254,15 +300,23 @@
     return;
   const std::vector<const replica *> Usable =
       Options.Directory.usable(Options.Pool, Now);
+  for (const placed_item &Placed :
+       Placement.place(std::move(Waiting), capacity(Usable, Now), Now))
+    startItem(*Candidates[Placed.Index], *Usable[Placed.Replica]);
+}
+
+std::vector<replica_capacity>
+job_scheduler::capacity(std::span<const replica *const> Replicas,
+                        time_point Now) const {
   std::vector<replica_capacity> Capacity;
-  for (const replica *Replica : Usable) {
+  for (const replica *Replica : Replicas) {
     const unsigned Busy = runningOn(Replica->Id);
     const auto Refused = RefusedUntil.find(Replica->Id);
     const bool Paused = Refused != RefusedUntil.end() && Now < Refused->second;
     replica_capacity Entry{
         .Id = Replica->Id,
-        .FreeSlots = Paused || Busy >= Replica->Slots ? 0
-                                                      : Replica->Slots - Busy,
+        .FreeSlots =
+            Paused || Busy >= Replica->Slots ? 0 : Replica->Slots - Busy,
         .Slots = std::max(1U, Replica->Slots),
         .Near = Replica->FailureDomain == Options.FailureDomain,
         .Versions = {}};
@@ -271,9 +325,75 @@
         Entry.Versions[Model] = Version;
     Capacity.push_back(std::move(Entry));
   }
-  for (const placed_item &Placed :
-       Placement.place(std::move(Waiting), Capacity))
-    startItem(*Candidates[Placed.Index], *Usable[Placed.Replica]);
+  return Capacity;
+}
+
+/// Items on replicas that have turned slow go on where they end sooner.
+void job_scheduler::moveSlowItems(time_point Now) {
+  std::vector<const replica *> Replicas =
+      Options.Directory.usable(Options.Pool, Now);
+  const size_t Usable = Replicas.size();
+  std::vector<item_state *> Candidates;
+  std::vector<running_item> Running;
+  for (const auto &[Id, Job] : Jobs) {
+    if (Job->Ended)
+      continue;
+    for (const auto &Item : Job->Items) {
+      if (Item->Phase != item_phase::Running ||
+          Now - Item->Run->startedAt() < MinRunBeforeMove)
+        continue;
+      const std::string &Where = Item->Run->replicaId();
+      auto It = std::find_if(
+          Replicas.begin(), Replicas.end(),
+          [&](const replica *Replica) { return Replica->Id == Where; });
+      if (It == Replicas.end()) {
+        // Draining or failing: its items may go, but none may come.
+        const replica *Leaving = Options.Directory.find(Where);
+        if (!Leaving)
+          continue;
+        It = Replicas.insert(Replicas.end(), Leaving);
+      }
+      Running.push_back({.Index = Candidates.size(),
+                         .Model = Job->Job.Model,
+                         .MinVersion = Job->Job.MinVersion,
+                         .ExactVersion = exactVersion(*Item),
+                         .RemainingTokens = remainingTokens(*Item),
+                         .Spare = Item->Spare,
+                         .DueAt = Job->DueAt,
+                         .Replica = size_t(It - Replicas.begin())});
+      Candidates.push_back(Item.get());
+    }
+  }
+  std::vector<replica_capacity> Capacity = capacity(Replicas, Now);
+  for (size_t I = Usable; I < Capacity.size(); ++I)
+    Capacity[I].FreeSlots = 0;
+  for (const placed_item &Move : Placement.moves(Running, Capacity, Now)) {
+    item_state &Item = *Candidates[Move.Index];
+    logState("item_moved",
+             {{"item", Item.Item->Id},
+              {"from", Item.Run->replicaId()},
+              {"to", Replicas[Move.Replica]->Id},
+              {"events", std::to_string(Item.Text.Events)},
+              {"ms_per_token_from",
+               std::to_string(
+                   Placement.msPerToken(Item.Run->replicaId(), Now))},
+              {"ms_per_token_to",
+               std::to_string(
+                   Placement.msPerToken(Replicas[Move.Replica]->Id, Now))}});
+    metrics::get().counter("items_moved_total").add();
+    stopRun(Item);
+    startItem(Item, *Replicas[Move.Replica]);
+  }
+}
+
+/// Closes the run's connection, on which the replica drops it.
+void job_scheduler::stopRun(item_state &Item) {
+  if (!Item.Run)
+    return;
+  observeSpeed(Item);
+  if (--Running[Item.Run->replicaId()] == 0)
+    Running.erase(Item.Run->replicaId());
+  Item.Run.reset();
 }
 
 void job_scheduler::startItem(item_state &Item, const replica &Replica) {
@@ -310,7 +430,7 @@
                            ? std::to_string(*Item.Text.LastEvent)
                            : "none"}});
   Item.Phase = item_phase::Running;
-  Item.LastReplica = ReplicaId;
+  Item.SeenEvents = 0;
   ++Running[ReplicaId];
   metrics::get().counter("items_started_total").add();
   // The run must not be destroyed from inside its own hook.
@@ -328,23 +448,30 @@
       });
 }
 
-void job_scheduler::observeSpeed(const item_state &Item) {
+/// Learns from the events since the last look at the run.
+void job_scheduler::observeSpeed(item_state &Item) {
   const item_run &Run = *Item.Run;
-  if (Run.events() < MinEventsForSpeed || !Run.firstEventAt())
+  if (!Run.firstEventAt())
+    return;
+  if (Item.SeenEvents == 0) {
+    Item.SeenEvents = 1;
+    Item.SeenAt = *Run.firstEventAt();
+  }
+  const uint64_t Events = Run.events() - Item.SeenEvents;
+  if (Events < MinEventsForSpeed)
     return;
-  const auto Elapsed = std::chrono::duration_cast<milliseconds>(
-      Run.progressAt() - *Run.firstEventAt());
-  Placement.onProgress(Run.replicaId(),
-                       double(Run.events() - 1) * tokensPerEvent(), Elapsed);
+  Placement.onProgress(
+      Run.replicaId(), double(Events) * tokensPerEvent(),
+      std::chrono::duration_cast<milliseconds>(Run.progressAt() - Item.SeenAt),
+      Run.progressAt());
+  Item.SeenEvents = Run.events();
+  Item.SeenAt = Run.progressAt();
 }
 
 void job_scheduler::onRunEnd(item_state &Item, const item_run_end &End) {
   const std::string ReplicaId = Item.Run->replicaId();
   const time_point Now = event_loop::now();
-  observeSpeed(Item);
-  Item.Run.reset();
-  if (--Running[ReplicaId] == 0)
-    Running.erase(ReplicaId);
+  stopRun(Item);
   metrics::get()
       .counter("item_runs_total", "outcome", toString(End.Outcome))
       .add();
@@ -357,6 +484,7 @@
               {"detail", End.Detail},
               {"events", std::to_string(Item.Text.Events)}});
   Item.Phase = item_phase::Waiting;
+  Item.LastReplica = ReplicaId;
   switch (End.Outcome) {
   case item_run_outcome::Complete:
     Options.Directory.onCallSucceeded(ReplicaId);
@@ -391,8 +519,7 @@
 
 void job_scheduler::retryLater(item_state &Item, milliseconds Delay) {
   Item.NotBefore = event_loop::now() + Delay;
-  Item.Retry =
-      Options.Loop.after(Delay + milliseconds(1), [this] { scheduleSoon(); });
+  Item.Retry = later(Delay + milliseconds(1), [this] { scheduleSoon(); });
 }
 
 void job_scheduler::score(item_state &Item) {
@@ -408,8 +535,8 @@
     // The configuration may bring the route back until the item expires.
     logState("scoring_route_missing",
              {{"item", Item.Item->Id}, {"host", Scoring.Host}});
-    Item.Retry = Options.Loop.after(milliseconds(500),
-                                    [this, &Item] { score(Item); });
+    Item.Retry =
+        later(MissingRoutePause, [this, &Item] { score(Item); });
     return;
   }
   const time_point Now = event_loop::now();
@@ -455,8 +582,7 @@
     giveUp(Item, "scoring");
     return;
   }
-  Item.Retry =
-      Options.Loop.after(FailurePause, [this, &Item] { score(Item); });
+  Item.Retry = later(FailurePause, [this, &Item] { score(Item); });
 }
 
 void job_scheduler::complete(item_state &Item, std::string Signature) {
@@ -498,7 +624,7 @@
 void job_scheduler::flushSoon(const std::shared_ptr<job_state> &Job) {
   if (Job->FlushTimer || Job->Writing)
     return;
-  Job->FlushTimer = Options.Loop.after(Options.BatchDelay, [this, Job] {
+  Job->FlushTimer = later(Options.BatchDelay, [this, Job] {
     Job->FlushTimer.reset();
     flush(Job);
   });
@@ -546,7 +672,7 @@
                {{"job", Job->Job.Id},
                 {"outcome", std::string(toString(Reply.Outcome))},
                 {"detail", Reply.Detail}});
-      Job->FlushTimer = Options.Loop.after(
+      Job->FlushTimer = later(
           FailurePause,
           [this, Job, Batch = std::move(Batch), WriteId]() mutable {
             Options.Link.whenReachable([this, Guard = guard(), Job,
@@ -585,9 +711,7 @@
     if (Item->Phase == item_phase::Done ||
         !Job.Log.isListed(Item->Item->Id))
       continue;
-    if (Item->Run && --Running[Item->Run->replicaId()] == 0)
-      Running.erase(Item->Run->replicaId());
-    Item->Run.reset();
+    stopRun(*Item);
     Item->Scoring.reset();
     Item->Retry.reset();
     Item->Phase = item_phase::Done;
@@ -602,13 +726,9 @@
   Job->Ended = true;
   unsigned Stopped = 0;
   for (const auto &Item : Job->Items) {
-    if (Item->Run) {
+    if (Item->Run)
       ++Stopped;
-      observeSpeed(*Item);
-      if (--Running[Item->Run->replicaId()] == 0)
-        Running.erase(Item->Run->replicaId());
-    }
-    Item->Run.reset();
+    stopRun(*Item);
     Item->Scoring.reset();
     Item->Retry.reset();
     Item->Phase = item_phase::Done;
@@ -636,7 +756,7 @@
   Job->Readers.push_back(Reader);
   // A reader whose time is over gets the page as it is then.
   const std::weak_ptr<reader> Weak = Reader;
-  Reader->Timer = Options.Loop.after(
+  Reader->Timer = later(
       std::max(Call.Wait, milliseconds(Job->Loaded ? 0 : 1)),
       [this, Job, Weak] {
         const auto Self = Weak.lock();
@@ -685,13 +805,15 @@
     if (Job->Ended)
       continue;
     for (const auto &Item : Job->Items) {
-      if (Item->Phase != item_phase::Running ||
-          Now - Item->Run->progressAt() < Options.StallTimeout)
+      if (Item->Phase != item_phase::Running)
         continue;
-      onRunEnd(*Item, {.Outcome = item_run_outcome::Broken,
-                       .Detail = "no event in time"});
+      observeSpeed(*Item);
+      if (Now - Item->Run->progressAt() >= Options.StallTimeout)
+        onRunEnd(*Item, {.Outcome = item_run_outcome::Broken,
+                         .Detail = "no event in time"});
     }
   }
+  moveSlowItems(Now);
 }
 
 void job_scheduler::expireItems() {
@@ -703,9 +825,7 @@
     for (const auto &Item : Job->Items) {
       if (Item->Phase == item_phase::Done)
         continue;
-      if (Item->Run && --Running[Item->Run->replicaId()] == 0)
-        Running.erase(Item->Run->replicaId());
-      Item->Run.reset();
+      stopRun(*Item);
       Item->Scoring.reset();
       giveUp(*Item, "expired");
     }
--- a/jobs/job_scheduler.h
+++ b/jobs/job_scheduler.h
@@ -24,7 +24,9 @@
 #include <map>
 #include <memory>
 #include <set>
+#include <span>
 #include <string>
+#include <vector>
 
 namespace cardamom {
 
@@ -99,6 +101,10 @@
   void loadResults(const std::shared_ptr<job_state> &Job);
   void markSpareGroups(job_state &Job);
   void schedule();
+  void moveSlowItems(time_point Now);
+  std::vector<replica_capacity>
+  capacity(std::span<const replica *const> Replicas, time_point Now) const;
+  void stopRun(item_state &Item);
   void startItem(item_state &Item, const replica &Replica);
   void onRunEnd(item_state &Item, const item_run_end &End);
   void retryLater(item_state &Item, milliseconds Delay);
@@ -119,10 +125,16 @@
   void tick();
   void checkRuns(time_point Now);
   void expireItems();
-  void observeSpeed(const item_state &Item);
+  void observeSpeed(item_state &Item);
   [[nodiscard]] double expectedTokens(const item_state &Item) const;
+  [[nodiscard]] double remainingTokens(const item_state &Item) const;
+  [[nodiscard]] static uint64_t exactVersion(const item_state &Item);
+  void restartIfVersionGone(item_state &Item);
   [[nodiscard]] double tokensPerEvent() const;
-  std::function<void(std::function<void()>)> guard();
+  std::function<void(const std::function<void()> &)> guard();
+  /// Timer whose task does not run after this object is destroyed.
+  [[nodiscard]] std::shared_ptr<timer_state> later(milliseconds Delay,
+                                                   std::function<void()> Task);
 
   job_scheduler_options Options;
   item_placement Placement;
--- a/jobs/pool_role.cpp
+++ b/jobs/pool_role.cpp
@@ -36,9 +36,7 @@
       Lease({.Self = this->Options.Self,
              .Incarnation = this->Options.Incarnation,
              .Address = this->Options.InnerAddress,
-             .Length = this->Options.LeaseLength}) {
-  ask();
-}
+             .Length = this->Options.LeaseLength}) {}
 
 pool_role::~pool_role() = default;
 
@@ -53,64 +51,99 @@
   return Scheduler && JobWatcher->ready() && HasStore;
 }
 
+void pool_role::start() {
+  reread();
+  tick();
+}
+
 void pool_role::observe(const stored_object &Object) {
   const bool Held = Lease.holds();
+  const std::string Former = Lease.record().Holder;
   if (Object.Removed || Object.Spec.is_null())
     Lease.observeAbsent();
   else
     Lease.observe(decodeLease(Object), event_loop::now());
-  HolderDown = false;
-  AskFailed = 0;
+  ReadAt = event_loop::now();
+  if (Lease.record().Holder != Former) {
+    HolderDown = false;
+    AskFailed = 0;
+    logState("lease_seen",
+             {{"pool", pool()},
+              {"holder", Lease.record().Holder},
+              {"token", std::to_string(Lease.record().Token)},
+              {"revision", std::to_string(Lease.record().Revision)}});
+  }
   if (Held && !Lease.holds())
     stepDown("another process holds the lease");
-  logState("lease_seen", {{"pool", pool()},
-                          {"holder", Lease.record().Holder},
-                          {"token", std::to_string(Lease.record().Token)},
-                          {"revision",
-                           std::to_string(Lease.record().Revision)}});
-  if (Lease.mayAcquire(false))
+  if (Lease.mayAcquire(HolderDown))
     acquireSoon();
 }
 
-void pool_role::ask() {
+void pool_role::tick() {
+  TickedAt = event_loop::now();
   AskTimer = Options.Scheduler.Loop.after(Options.AskInterval, [this] {
+    const time_point Now = event_loop::now();
     const std::string Address = schedulerAddress();
-    if (Address.empty()) {
-      if (Lease.mayAcquire(false))
-        acquireSoon();
-      ask();
-      return;
-    }
-    const http_request Question{
-        .Method = "GET",
-        .Target = std::string(InnerAlivePath) + "?pool=" +
-                  percentEncode(pool()),
-        .Headers = {{"Host", Address}},
-        .Body = {}};
-    AskCall = Options.Scheduler.Client.fetch(
-        Address, Question, Options.AskTimeout,
-        [this](const call_end &End, const http_response &Response) {
-          onAsked(End.Result == call_result::Complete &&
-                  Response.Status == 200);
-          ask();
-        });
+    if (Lease.holds())
+      checkOwnLease(Now);
+    else if (!Address.empty())
+      ask(Address);
+    else if (Lease.mayAcquire(false))
+      acquireSoon();
+    tick();
   });
 }
 
-void pool_role::onAsked(bool Answered) {
-  if (Answered) {
+void pool_role::checkOwnLease(time_point Now) {
+  const bool Paused = Now - TickedAt > Options.PauseLimit;
+  if (Paused)
+    logState("pause_detected",
+             {{"pool", pool()},
+              {"ms", std::to_string(std::chrono::duration_cast<milliseconds>(
+                                        Now - TickedAt)
+                                        .count())}});
+  if (Paused || Now - ReadAt > Options.RereadInterval)
+    reread();
+}
+
+void pool_role::ask(const std::string &Address) {
+  if (Asking)
+    return;
+  Asking = true;
+  const http_request Question{.Method = "GET",
+                              .Target = std::string(InnerAlivePath) +
+                                        "?pool=" + percentEncode(pool()),
+                              .Headers = {{"Host", Address}},
+                              .Body = {}};
+  AskCall = Options.Scheduler.Client.fetch(
+      Address, Question, Options.AskTimeout,
+      [this](const call_end &End, const http_response &Response) {
+        Asking = false;
+        onAsked(End, Response.Status);
+      });
+}
+
+void pool_role::onAsked(const call_end &End, unsigned Status) {
+  static constexpr unsigned StatusOk = 200;
+  const bool Answered = End.Result == call_result::Complete;
+  if (Answered && Status == StatusOk) {
     AskFailed = 0;
     HolderDown = false;
     return;
   }
-  if (++AskFailed < Options.AskFailures)
+  // An answer other than "serving" needs no second question.
+  AskFailed += Answered ? Options.AskFailures : 1;
+  if (AskFailed < Options.AskFailures)
     return;
   if (!HolderDown)
-    logState("holder_down", {{"pool", pool()},
-                             {"holder", Lease.record().Holder},
-                             {"questions", std::to_string(AskFailed)}});
+    logState("holder_down",
+             {{"pool", pool()},
+              {"holder", Lease.record().Holder},
+              {"status", std::to_string(Status)},
+              {"detail", End.Detail}});
   HolderDown = true;
-  acquireSoon();
+  // Another process may have taken over already.
+  reread();
 }
 
 void pool_role::acquireSoon() {
@@ -140,10 +173,9 @@
 void pool_role::write(const pool_lease_record &Record, bool Renewal) {
   Writing = true;
   json Value = encodeLease(Record);
-  // A change that changes nothing has no new revision, and a renewal must
-  // have one.
-  if (Renewal)
-    Value["renewal"] = Options.Scheduler.NewId();
+  // A write that changes nothing gets no new revision, and a renewal must have
+  // one.
+  Value["write_id"] = Options.Scheduler.NewId();
   object_request Request{.Op = Record.Revision == 0 ? object_op::Create
                                                     : object_op::Replace,
                          .Kind = Options.LeaseKind,
@@ -177,6 +209,9 @@
 /// Reads the lease back: the write may have been done although its answer was
 /// lost, or another process may hold the lease.
 void pool_role::reread() {
+  if (Rereading)
+    return;
+  Rereading = true;
   Options.Scheduler.Link.whenReachable([this,
                                         Weak = std::weak_ptr<bool>(Alive)] {
     if (Weak.expired())
@@ -186,6 +221,7 @@
         [this, Weak](const object_reply &Reply) {
           if (Weak.expired())
             return;
+          Rereading = false;
           if (Reply.Outcome == object_outcome::Done &&
               !Reply.Objects.empty()) {
             observe(Reply.Objects.front());
@@ -195,6 +231,8 @@
             stored_object Absent;
             Absent.Removed = true;
             observe(Absent);
+          } else {
+            reread();
           }
         });
   });
--- a/jobs/pool_role.h
+++ b/jobs/pool_role.h
@@ -4,13 +4,14 @@
 ///
 /// Use:
 ///   pool_role Role({...});
-///   Role.observe(Object);        // the pool's lease, as the store shows it
+///   Role.start();
 ///   if (job_scheduler *S = Role.scheduler()) ...
 ///   Role.release();              // on shutdown
 ///
 /// One gateway holds the pool's lease. The others ask it regularly whether it
-/// is alive and has the store; when it does not answer, one of them takes the
-/// lease over by a conditional write.
+/// is alive and has the store; when it is not, one of them takes the lease over
+/// by a conditional write. The lease is read when there is reason to, not
+/// watched, so that renewals cost one call each.
 
 #ifndef CARDAMOM_JOBS_POOL_ROLE_H
 #define CARDAMOM_JOBS_POOL_ROLE_H
@@ -27,6 +28,7 @@
 namespace cardamom {
 
 class client_call_state;
+struct call_end;
 
 struct pool_role_options {
   /// Scheduler's options; ChangingWeights is set by the role.
@@ -40,14 +42,20 @@
   /// Uniform random number in [0, 1).
   std::function<double()> Random;
   /// Pause between two questions to the holder.
-  milliseconds AskInterval{500};
-  milliseconds AskTimeout{600};
+  milliseconds AskInterval{300};
+  milliseconds AskTimeout{400};
   /// Questions in a row without an answer before the holder is taken for
   /// down.
-  unsigned AskFailures = 3;
-  /// A holder that has had no answer of the store for this long says that it
-  /// cannot serve.
-  milliseconds MaxStoreSilence{1500};
+  unsigned AskFailures = 2;
+  /// A holder that has lost the store for this long says that it cannot
+  /// serve.
+  milliseconds MaxStoreSilence{700};
+  /// A holder reads its lease this often, to learn of a successor whose
+  /// questions it does not get.
+  milliseconds RereadInterval{5000};
+  /// A process that finds its timers this late was paused, and reads its
+  /// lease before it goes on.
+  milliseconds PauseLimit{1000};
   /// Those who want the lease wait up to this long at random, so that one
   /// write usually decides.
   milliseconds AcquireSpread{400};
@@ -60,8 +68,9 @@
   pool_role(const pool_role &) = delete;
   pool_role &operator=(const pool_role &) = delete;
 
-  /// The pool's lease object; Removed or a null Spec = there is none.
-  void observe(const stored_object &Object);
+  void start();
+  /// The store is back after an outage.
+  void onStoreBack() { reread(); }
   /// Null while another process is the scheduler.
   [[nodiscard]] job_scheduler *scheduler() { return Scheduler.get(); }
   /// Inner address of the scheduler, empty when there is none or it is this
@@ -70,6 +79,7 @@
   /// Whether this process can serve the pool: it is the scheduler, knows the
   /// pool's jobs, and the store answers.
   [[nodiscard]] bool serving(time_point Now) const;
+  [[nodiscard]] bool holds() const { return Lease.holds(); }
   /// Gives the lease up and takes it no more.
   void release(std::function<void()> Done);
   void replicasChanged();
@@ -78,8 +88,11 @@
   }
 
 private:
-  void ask();
-  void onAsked(bool Answered);
+  void observe(const stored_object &Object);
+  void tick();
+  void checkOwnLease(time_point Now);
+  void ask(const std::string &Address);
+  void onAsked(const call_end &End, unsigned Status);
   void acquireSoon();
   void acquire();
   void renew();
@@ -92,6 +105,10 @@
   pool_role_options Options;
   lease Lease;
   bool HolderDown = false;
+  bool Asking = false;
+  bool Rereading = false;
+  time_point TickedAt{};
+  time_point ReadAt{};
   bool Writing = false;
   bool Released = false;
   unsigned AskFailed = 0;
--- a/policy/item_placement.cpp
+++ b/policy/item_placement.cpp
@@ -2,48 +2,75 @@
 
 #include <algorithm>
 #include <optional>
+#include <set>
 #include <tuple>
 
 namespace cardamom {
 
 double item_placement::typicalMsPerToken() const {
-  if (MsPerToken.empty())
+  if (Speeds.empty())
     return Options.DefaultMsPerToken;
   double Sum = 0;
-  for (const auto &[Id, Speed] : MsPerToken)
-    Sum += Speed;
-  return Sum / double(MsPerToken.size());
+  for (const auto &[Id, Speed] : Speeds)
+    Sum += Speed.MsPerToken;
+  return Sum / double(Speeds.size());
 }
 
-double item_placement::msPerToken(std::string_view Replica) const {
-  const auto It = MsPerToken.find(Replica);
-  // One that is unknown is taken for an average one, so that it is tried.
-  return It == MsPerToken.end() ? typicalMsPerToken() : It->second;
+double item_placement::msPerToken(std::string_view Replica,
+                                  time_point Now) const {
+  const auto It = Speeds.find(Replica);
+  // One that is unknown, or was slow a while ago, is taken for an average one,
+  // so that it is tried.
+  if (It == Speeds.end())
+    return typicalMsPerToken();
+  if (Now - It->second.At > Options.SpeedMemory)
+    return std::min(typicalMsPerToken(), It->second.MsPerToken);
+  return It->second.MsPerToken;
 }
 
 void item_placement::onProgress(std::string_view Replica, double Tokens,
-                                milliseconds Elapsed) {
+                                milliseconds Elapsed, time_point Now) {
   if (Tokens <= 0 || Elapsed.count() <= 0)
     return;
   const double Observed = double(Elapsed.count()) / Tokens;
-  const auto [It, New] = MsPerToken.try_emplace(std::string(Replica), Observed);
-  if (!New)
-    It->second += Options.SpeedGain * (Observed - It->second);
+  const auto [It, New] = Speeds.try_emplace(
+      std::string(Replica), observed_speed{.MsPerToken = Observed, .At = Now});
+  if (New)
+    return;
+  It->second.MsPerToken +=
+      Options.SpeedGain * (Observed - It->second.MsPerToken);
+  It->second.At = Now;
 }
 
 void item_placement::forget(std::string_view Replica) {
-  if (const auto It = MsPerToken.find(Replica); It != MsPerToken.end())
-    MsPerToken.erase(It);
+  if (const auto It = Speeds.find(Replica); It != Speeds.end())
+    Speeds.erase(It);
+}
+
+double item_placement::costOn(const replica_capacity &Replica, unsigned Free,
+                              time_point Now) const {
+  // Between replicas of equal speed the emptier one, whose steps are shorter.
+  static constexpr double FullSlotsFactor = 0.1;
+  double Cost = msPerToken(Replica.Id, Now);
+  if (Replica.Near)
+    Cost *= Options.NearFactor;
+  return Cost * (1 + FullSlotsFactor * (1 - double(Free) / Replica.Slots));
 }
 
-static bool serves(const replica_capacity &Replica, const waiting_item &Item) {
-  const auto It = Replica.Versions.find(Item.Model);
-  return It != Replica.Versions.end() && It->second >= Item.MinVersion;
+template <typename Item>
+static bool serves(const replica_capacity &Replica, const Item &Wanted) {
+  const auto It = Replica.Versions.find(Wanted.Model);
+  if (It == Replica.Versions.end() || It->second < Wanted.MinVersion)
+    return false;
+  return Wanted.ExactVersion == 0 || It->second == Wanted.ExactVersion;
 }
 
 std::vector<placed_item>
 item_placement::place(std::vector<waiting_item> Waiting,
-                      std::span<const replica_capacity> Replicas) const {
+                      std::span<const replica_capacity> Replicas,
+                      time_point Now) const {
+  // A replica that failed an item is its last choice.
+  static constexpr double AvoidFactor = 100;
   std::sort(Waiting.begin(), Waiting.end(),
             [](const waiting_item &A, const waiting_item &B) {
               return std::tuple(A.Spare, A.DueAt, -A.RemainingTokens, A.Index) <
@@ -64,13 +91,9 @@
     for (size_t I = 0; I < Replicas.size(); ++I) {
       if (Free[I] == 0 || !serves(Replicas[I], Item))
         continue;
-      double Cost = msPerToken(Replicas[I].Id);
-      if (Replicas[I].Near)
-        Cost *= Options.NearFactor;
+      double Cost = costOn(Replicas[I], Free[I], Now);
       if (Replicas[I].Id == Item.Avoid)
-        Cost *= 100;
-      // Equal speeds: the emptier one, whose steps are shorter.
-      Cost *= 1 + 0.1 * (1 - double(Free[I]) / Replicas[I].Slots);
+        Cost *= AvoidFactor;
       if (Best && Cost >= BestCost)
         continue;
       Best = I;
@@ -85,4 +108,45 @@
   return Placed;
 }
 
+std::vector<placed_item>
+item_placement::moves(std::span<const running_item> Running,
+                      std::span<const replica_capacity> Replicas,
+                      time_point Now) const {
+  struct move {
+    double GainMs;
+    placed_item Placed;
+  };
+  std::vector<move> Candidates;
+  for (const running_item &Item : Running) {
+    const double Here =
+        Item.RemainingTokens * msPerToken(Replicas[Item.Replica].Id, Now);
+    for (size_t I = 0; I < Replicas.size(); ++I) {
+      if (I == Item.Replica || Replicas[I].FreeSlots == 0 ||
+          !serves(Replicas[I], Item))
+        continue;
+      const double Gain =
+          Here - Item.RemainingTokens * msPerToken(Replicas[I].Id, Now);
+      if (Gain > Here * Options.MoveShare &&
+          Gain > double(Options.MoveGain.count()))
+        Candidates.push_back({.GainMs = Gain,
+                              .Placed = {.Index = Item.Index, .Replica = I}});
+    }
+  }
+  std::sort(Candidates.begin(), Candidates.end(),
+            [](const move &A, const move &B) { return A.GainMs > B.GainMs; });
+  std::vector<unsigned> Free;
+  for (const replica_capacity &Replica : Replicas)
+    Free.push_back(Replica.FreeSlots);
+  std::set<size_t> Moved;
+  std::vector<placed_item> Moves;
+  for (const move &Candidate : Candidates) {
+    if (Free[Candidate.Placed.Replica] == 0 ||
+        !Moved.insert(Candidate.Placed.Index).second)
+      continue;
+    --Free[Candidate.Placed.Replica];
+    Moves.push_back(Candidate.Placed);
+  }
+  return Moves;
+}
+
 } // namespace cardamom
--- a/policy/item_placement.h
+++ b/policy/item_placement.h
@@ -3,14 +3,16 @@
 ///
 /// Use:
 ///   item_placement Placement({});
-///   Placement.onProgress("replica", Tokens, Elapsed);
-///   for (const placed_item &P : Placement.place(Waiting, Replicas)) start ...
+///   Placement.onProgress("replica", Tokens, Elapsed, Now);
+///   for (const placed_item &P : Placement.place(Waiting, Replicas, Now)) ...
+///   for (const placed_item &P : Placement.moves(Running, Replicas, Now)) ...
 ///
 /// Answers the load of trainers that wait for most groups of a step while
 /// replicas differ in speed: the longest items go first and to the fastest
 /// replicas, and the groups that the trainer does not wait for go last. Items
 /// wait here, not at replicas, so that one that turns slow holds up only what
-/// it runs. Pure but for learned speeds. place() costs
+/// it runs; and what runs there goes on elsewhere, from its last event, once a
+/// faster replica is free. Pure but for learned speeds. place() costs
 /// O(items log items + placed x replicas).
 
 #ifndef CARDAMOM_POLICY_ITEM_PLACEMENT_H
@@ -39,6 +41,8 @@
   bool Spare = false;
   /// When the job's results are due.
   time_point DueAt;
+  /// Version that the replica must have; 0 = MinVersion or any newer one.
+  uint64_t ExactVersion = 0;
   /// Replica that failed it last; used only when there is no other.
   std::string_view Avoid;
 };
@@ -60,6 +64,19 @@
   size_t Replica = 0;
 };
 
+/// An item that runs, for the question whether it should run elsewhere.
+struct running_item {
+  size_t Index = 0;
+  std::string_view Model;
+  uint64_t MinVersion = 0;
+  uint64_t ExactVersion = 0;
+  double RemainingTokens = 0;
+  bool Spare = false;
+  time_point DueAt;
+  /// Index into the replicas.
+  size_t Replica = 0;
+};
+
 struct item_placement_options {
   /// Weight of a new observation in the moving average of speed.
   double SpeedGain = 0.3;
@@ -67,6 +84,11 @@
   double NearFactor = 0.95;
   /// Until a replica's speed is known.
   double DefaultMsPerToken = 1;
+  /// A speed that was observed longer ago is not believed.
+  milliseconds SpeedMemory{4000};
+  /// A move must bring this share of the remaining time, and this much.
+  double MoveShare = 0.3;
+  milliseconds MoveGain{150};
 };
 
 class item_placement {
@@ -75,19 +97,32 @@
 
   [[nodiscard]] std::vector<placed_item>
   place(std::vector<waiting_item> Waiting,
-        std::span<const replica_capacity> Replicas) const;
+        std::span<const replica_capacity> Replicas, time_point Now) const;
+  /// Running items that would end clearly sooner on a replica with a free
+  /// slot, those that would gain most first.
+  [[nodiscard]] std::vector<placed_item>
+  moves(std::span<const running_item> Running,
+        std::span<const replica_capacity> Replicas, time_point Now) const;
 
   /// Observed generation: Tokens in Elapsed within one run.
-  void onProgress(std::string_view Replica, double Tokens,
-                  milliseconds Elapsed);
-  [[nodiscard]] double msPerToken(std::string_view Replica) const;
+  void onProgress(std::string_view Replica, double Tokens, milliseconds Elapsed,
+                  time_point Now);
+  [[nodiscard]] double msPerToken(std::string_view Replica,
+                                  time_point Now) const;
   void forget(std::string_view Replica);
 
 private:
+  struct observed_speed {
+    double MsPerToken;
+    time_point At;
+  };
+
   [[nodiscard]] double typicalMsPerToken() const;
+  [[nodiscard]] double costOn(const replica_capacity &Replica, unsigned Free,
+                              time_point Now) const;
 
   item_placement_options Options;
-  std::map<std::string, double, std::less<>> MsPerToken;
+  std::map<std::string, observed_speed, std::less<>> Speeds;
 };
 
 } // namespace cardamom
--- a/server/caller_front.cpp
+++ b/server/caller_front.cpp
@@ -88,7 +88,8 @@
   return Route.Services.back().Service;
 }
 
-bool caller_front::handleJobCall(const exchange_ptr &Exchange) {
+bool caller_front::handleJobCall(const exchange_ptr &Exchange,
+                                 bool Forwarded) {
   const auto Call = Options.Protocols.DecodeJobCall(Exchange->request());
   if (!Call)
     return false;
@@ -99,11 +100,11 @@
         Pools.push_back(Part.Service);
   if (Pools.empty())
     return false;
-  Options.Desk.call(Exchange, *Call, std::move(Pools));
+  Options.Desk.call(Exchange, *Call, std::move(Pools), Forwarded);
   return true;
 }
 
-void caller_front::handle(const exchange_ptr &Exchange) {
+void caller_front::handle(const exchange_ptr &Exchange, bool Forwarded) {
   metrics::get().counter("requests_total").add();
   const http_request &Message = Exchange->request();
   try {
@@ -114,7 +115,7 @@
              Options.RetryHint);
       return;
     }
-    if (handleJobCall(Exchange))
+    if (handleJobCall(Exchange, Forwarded))
       return;
     const route *Route = findRoute(Request.Call.Host, Message.Target);
     if (!Route) {
@@ -122,7 +123,7 @@
       return;
     }
     if (Route->Kind == route_kind::Rollout) {
-      Options.Desk.submit(Exchange, *Route, Id);
+      Options.Desk.submit(Exchange, *Route, Id, Forwarded);
       return;
     }
     relay(Exchange, *Route, std::move(Request));
--- a/server/caller_front.h
+++ b/server/caller_front.h
@@ -4,7 +4,7 @@
 /// Use:
 ///   caller_front Front({...});
 ///   Front.install(Config, Now);
-///   Front.handle(Exchange); // for each request
+///   Front.handle(Exchange, /*Forwarded=*/false); // for each request
 
 #ifndef CARDAMOM_SERVER_CALLER_FRONT_H
 #define CARDAMOM_SERVER_CALLER_FRONT_H
@@ -50,12 +50,13 @@
   [[nodiscard]] const route *findRoute(std::string_view Host,
                                        std::string_view Path) const;
 
-  void handle(const exchange_ptr &Exchange);
+  /// Forwarded: the request comes from another gateway and is not passed on.
+  void handle(const exchange_ptr &Exchange, bool Forwarded);
 
 private:
   struct pending;
 
-  bool handleJobCall(const exchange_ptr &Exchange);
+  bool handleJobCall(const exchange_ptr &Exchange, bool Forwarded);
   void relay(const exchange_ptr &Exchange, const route &Route,
              inbound_request Request);
   void onAnswer(uint64_t Id, const plain_answer &Answer);
--- a/server/gateway.cpp
+++ b/server/gateway.cpp
@@ -25,6 +25,7 @@
 static constexpr std::string_view JobKind = "jobs";
 static constexpr std::string_view ResultKind = "job-results";
 static constexpr std::string_view LeaseKind = "pool-leases";
+static constexpr std::string_view GatewayKind = "gateways";
 /// How often replicas that are missing after an outage are looked at.
 static constexpr milliseconds HousekeepingInterval{500};
 /// A replica that is missing this soon after an outage may come back.
@@ -48,9 +49,12 @@
 
   void start();
   void watch(std::string Kind, std::function<void(const stored_object &)> Each);
+  void onStore(bool Reachable, const std::string &Detail);
   void watchReplicas();
   void onConfig(const stored_object &Object);
-  void onLease(const stored_object &Object);
+  void registerSelf();
+  void onGateway(const stored_object &Object);
+  std::vector<std::string> peers();
   void onRetirement(const stored_object &Object);
   std::optional<replica> readReplica(const stored_object &Object);
   [[nodiscard]] bool afterOutage() const;
@@ -80,9 +84,8 @@
   std::vector<std::unique_ptr<object_watcher>> Watchers;
   object_watcher *ReplicaWatcher = nullptr;
   std::map<std::string, std::unique_ptr<pool_role>> Pools;
-  /// Leases seen, for pools that the configuration brings later.
-  std::map<std::string, stored_object> Leases;
-  bool LeasesListed = false;
+  /// Inner addresses by name.
+  std::map<std::string, std::string> Gateways;
   std::unique_ptr<http_server> CallerServer;
   std::unique_ptr<http_server> ReadyServer;
   std::unique_ptr<http_server> InnerServer;
@@ -104,9 +107,8 @@
                             .Kind = Options.Protocols.Objects.ConfigKind,
                             .Name = Options.Protocols.Objects.ConfigName},
                   .OnChange =
-                      [](bool Reachable, const std::string &Detail) {
-                        logState(Reachable ? "store_back" : "store_lost",
-                                 {{"detail", Detail}});
+                      [this](bool Reachable, const std::string &Detail) {
+                        onStore(Reachable, Detail);
                       }}),
       Directory({.Log =
                      [](std::string_view Event, const replica &Replica,
@@ -132,6 +134,7 @@
             .ResultKind = std::string(ResultKind),
             .FindPool =
                 [this](const std::string &Pool) { return findPool(Pool); },
+            .Peers = [this] { return peers(); },
             .UnixNow = unixNowMs}),
       Front({.Caller = Caller,
              .Desk = Desk,
@@ -151,7 +154,7 @@
   CallerServer = std::make_unique<http_server>(
       Loop, http_server_options{.Listen = Options.CallerListen,
                                 .OnRequest = [this](const exchange_ptr &E) {
-                                  Front.handle(E);
+                                  Front.handle(E, /*Forwarded=*/false);
                                 }});
   ReadyServer = std::make_unique<http_server>(
       Loop, http_server_options{.Listen = Options.ReadyListen,
@@ -173,8 +176,9 @@
   watch(Objects.ConfigKind,
         [this](const stored_object &Object) { onConfig(Object); });
   watchReplicas();
-  watch(std::string(LeaseKind),
-        [this](const stored_object &Object) { onLease(Object); });
+  watch(std::string(GatewayKind),
+        [this](const stored_object &Object) { onGateway(Object); });
+  registerSelf();
   watch(Objects.RetirementKind,
         [this](const stored_object &Object) { onRetirement(Object); });
   housekeeping();
@@ -182,24 +186,27 @@
 
 void gateway::state::watch(std::string Kind,
                            std::function<void(const stored_object &)> Each) {
-  const bool IsLease = Kind == LeaseKind;
   Watchers.push_back(std::make_unique<object_watcher>(
       Loop, Link,
       object_watcher_options{
           .Kind = std::move(Kind),
           .OnSnapshot =
-              [this, Each, IsLease](std::span<const stored_object> All) {
+              [Each](std::span<const stored_object> All) {
                 for (const stored_object &Object : All)
                   Each(Object);
-                if (!IsLease)
-                  return;
-                LeasesListed = true;
-                updatePools();
               },
           .OnChange = Each}));
   Watchers.back()->start();
 }
 
+void gateway::state::onStore(bool Reachable, const std::string &Detail) {
+  logState(Reachable ? "store_back" : "store_lost", {{"detail", Detail}});
+  if (!Reachable)
+    return;
+  for (const auto &[Name, Pool] : Pools)
+    Pool->onStoreBack();
+}
+
 bool gateway::state::afterOutage() const {
   return !Link.reachable() ||
          (Link.backAt() != time_point{} &&
@@ -262,25 +269,54 @@
   }
 }
 
-void gateway::state::onLease(const stored_object &Object) {
-  Leases[Object.Name] = Object;
-  if (pool_role *Role = findPool(Object.Name))
-    Role->observe(Object);
+/// Tells the other gateways where this one is.
+void gateway::state::registerSelf() {
+  const object_request Request{.Op = object_op::Create,
+                               .Kind = std::string(GatewayKind),
+                               .Name = Options.Name,
+                               .Value = {{"address", Options.InnerListen}}};
+  Link.call(Request, [this, Request](const object_reply &Reply) {
+    if (Reply.Outcome == object_outcome::Done)
+      return;
+    if (Reply.Outcome == object_outcome::Conflict) {
+      object_request Change = Request;
+      Change.Op = object_op::Replace;
+      const bool Same = !Reply.Objects.empty() &&
+                        Reply.Objects.front().Spec == Request.Value;
+      if (!Same)
+        Link.call(Change, [](const object_reply & /*Reply*/) {});
+      return;
+    }
+    Link.whenReachable([this] { registerSelf(); });
+  });
+}
+
+void gateway::state::onGateway(const stored_object &Object) {
+  if (Object.Removed || !Object.Spec.is_object())
+    Gateways.erase(Object.Name);
+  else
+    Gateways[Object.Name] = Object.Spec.value("address", "");
+}
+
+/// Inner addresses of the other gateways, in random order.
+std::vector<std::string> gateway::state::peers() {
+  std::vector<std::string> Addresses;
+  for (const auto &[Name, Address] : Gateways)
+    if (Address != Options.InnerListen && !Address.empty())
+      Addresses.push_back(Address);
+  std::shuffle(Addresses.begin(), Addresses.end(), Generator);
+  return Addresses;
 }
 
 /// Each service of model engines is a pool.
 void gateway::state::updatePools() {
-  if (!LeasesListed || Stopping)
+  if (Stopping)
     return;
   for (const auto &[Name, Service] : Front.config().Services) {
     if (!Service.IsEngine || Pools.contains(Name))
       continue;
     Pools[Name] = makePool(Name);
-    stored_object Absent;
-    Absent.Name = Name;
-    Absent.Removed = true;
-    const auto Known = Leases.find(Name);
-    Pools[Name]->observe(Known == Leases.end() ? Absent : Known->second);
+    Pools[Name]->start();
   }
 }
 
@@ -376,11 +412,17 @@
                       .Body = metrics::get().expose()});
     return;
   }
+  if (Path.starts_with(InnerForwardPrefix)) {
+    Exchange->setTarget(Target.substr(InnerForwardPrefix.size()));
+    Front.handle(Exchange, /*Forwarded=*/true);
+    return;
+  }
   pool_role *Role = findPool(queryParameter(Target, "pool"));
   if (Path == InnerAlivePath) {
-    const bool Serving = Role && Role->serving(event_loop::now());
-    Exchange->answer(
-        {.Status = Serving ? 200U : 503U, .Headers = {}, .Body = {}});
+    unsigned Status = 404;
+    if (Role && Role->holds())
+      Status = Role->serving(event_loop::now()) ? 200 : 503;
+    Exchange->answer({.Status = Status, .Headers = {}, .Body = {}});
   } else if (Path == InnerResultsPath) {
     innerResults(Exchange, Role);
   } else if (Path == InnerEndPath) {
