--- a/jobs/job_scheduler.cpp
+++ b/jobs/job_scheduler.cpp
@@ -87,9 +87,19 @@
 }
 
 job_scheduler::~job_scheduler() {
-  for (const auto &[Id, Job] : Jobs)
-    for (const auto &Reader : Job->Readers)
+  Alive.reset();
+  for (const auto &[Id, Job] : Jobs) {
+    // A timer that has not fired yet may keep the job; its runs must not
+    // outlive this object.
+    Job->Items.clear();
+    Job->FlushTimer.reset();
+    const auto Readers = std::move(Job->Readers);
+    Job->Readers.clear();
+    for (const auto &Reader : Readers) {
+      Reader->Timer.reset();
       Reader->Done(false, {});
+    }
+  }
 }
 
 std::function<void(const std::function<void()> &)> job_scheduler::guard() {
