Hand the progress of items over to a new scheduler

Change: the new scheduler asks its predecessor, which stops and answers with texts and unlisted results; a shutdown keeps working until it is asked. Found on the way: a resume at the end of a stream has no version and is complete; results must not be written before the batches have been read.

--- a/cmd/cardamomd.cpp
+++ b/cmd/cardamomd.cpp
@@ -141,7 +141,7 @@
 }
 
 /// Calls to the store other than watches answer within milliseconds.
-constexpr milliseconds StoreCallTimeout{900};
+constexpr milliseconds StoreCallTimeout{600};
 
 int runGateway(const daemon_settings &S) {
   event_loop Loop;
--- a/jobs/inner_paths.h
+++ b/jobs/inner_paths.h
@@ -17,6 +17,9 @@
 /// POST ?pool=P&job=J: the job has been ended in the store.
 inline constexpr std::string_view InnerEndPath = "/inner/end";
 
+/// POST ?pool=P, body: the lease that the caller has taken. The former
+/// scheduler stops and answers with the progress of its items.
+inline constexpr std::string_view InnerHandoverPath = "/inner/handover";
 /// Any method, followed by the target of a caller's request: a call on a batch
 /// job that the sender cannot serve because it has lost the store. It is not
 /// passed on again.
--- a/jobs/item_run.cpp
+++ b/jobs/item_run.cpp
@@ -64,12 +64,11 @@
     return end(item_run_outcome::Failed, Status);
   if (Head.Encoded || Head.Signature.empty())
     return end(item_run_outcome::Broken, "unsigned or encoded answer");
-  if (!Head.WeightVersion)
-    return end(item_run_outcome::Broken, "answer without a weight version");
+  // Absent where no event is left to be sent.
   Version = Head.WeightVersion;
-  if (Options.OnVersion)
+  if (Version && Options.OnVersion)
     Options.OnVersion(*Version);
-  if (*Version < Options.MinVersion)
+  if (Version && *Version < Options.MinVersion)
     return end(item_run_outcome::TooOld, "version " + std::to_string(*Version));
   Streaming = true;
 }
@@ -82,6 +81,8 @@
     if (Options.OnVersion)
       Options.OnVersion(*Version);
   }
+  if (!Version)
+    return end(item_run_outcome::Broken, "event without a weight version");
   if (!Event.Number ||
       (Text.LastEvent && *Event.Number != *Text.LastEvent + 1))
     return end(item_run_outcome::Broken, "event out of order");
--- a/jobs/job_scheduler.cpp
+++ b/jobs/job_scheduler.cpp
@@ -8,6 +8,7 @@
 #include "jobs/result_page.h"
 
 #include <algorithm>
+#include <stdexcept>
 #include <vector>
 
 namespace cardamom {
@@ -43,7 +44,11 @@
   const job_item *Item = nullptr;
   item_phase Phase = item_phase::Waiting;
   item_text Text;
+  /// All of the text is there; only the score is missing.
+  bool TextComplete = false;
   unsigned Failures = 0;
+  /// Broken runs in a row that brought no event.
+  unsigned EmptyRuns = 0;
   unsigned ScoringFailures = 0;
   bool Spare = false;
   time_point NotBefore{};
@@ -152,6 +157,8 @@
   }
   markSpareGroups(*Job);
   Jobs[Job->Job.Id] = Job;
+  for (const auto &Item : Job->Items)
+    takeImported(*Item);
   logState("job_added", {{"job", Job->Job.Id},
                          {"model", Job->Job.Model},
                          {"step", std::to_string(Job->Job.Step)},
@@ -163,6 +170,7 @@
     return;
   }
   Job->Loaded = true;
+  flush(Job);
   scheduleSoon();
 }
 
@@ -192,11 +200,80 @@
                    {{"job", Job->Job.Id},
                     {"listed", std::to_string(Job->Log.listed().size())}});
           serveReaders(*Job);
+          flush(Job);
           scheduleSoon();
         });
       });
 }
 
+nlohmann::json job_scheduler::exportProgress() const {
+  nlohmann::json Progress = nlohmann::json::object();
+  for (const auto &[Id, Job] : Jobs) {
+    if (Job->Ended)
+      continue;
+    for (const item_result &Result : Job->Log.waiting())
+      Progress[Result.ItemId] = result_log::encodeBatch({&Result, 1}, {});
+    for (const auto &Item : Job->Items) {
+      const item_text &Text = Item->Text;
+      if (Item->Phase == item_phase::Done || Text.Events == 0 ||
+          !Text.LastEvent)
+        continue;
+      Progress[Item->Item->Id] = {
+          {"text", Text.Text},
+          {"last_event", *Text.LastEvent},
+          {"events", Text.Events},
+          {"versions", Text.Versions},
+          {"failures", Item->Failures},
+          {"complete", Item->Phase == item_phase::Scoring}};
+    }
+  }
+  return Progress;
+}
+
+void job_scheduler::importProgress(const nlohmann::json &Progress) {
+  if (!Progress.is_object())
+    throw std::invalid_argument("the progress is not an object");
+  for (const auto &[ItemId, Entry] : Progress.items())
+    Imported[ItemId] = Entry;
+  for (const auto &[Id, Job] : Jobs)
+    for (const auto &Item : Job->Items)
+      takeImported(*Item);
+}
+
+void job_scheduler::takeImported(item_state &Item) {
+  const auto Found = Imported.find(Item.Item->Id);
+  if (Found == Imported.end())
+    return;
+  const nlohmann::json Entry = std::move(Found->second);
+  Imported.erase(Found);
+  if (Item.Phase != item_phase::Waiting || Item.Text.Events > 0)
+    return;
+  try {
+    if (Entry.contains("results")) {
+      for (item_result &Result : result_log::decodeBatch(Entry))
+        queueResult(Item, std::move(Result));
+      return;
+    }
+    Item.Text = {.Text = Entry.at("text"),
+                 .LastEvent = Entry.at("last_event").get<uint64_t>(),
+                 .Events = Entry.at("events"),
+                 .Versions = Entry.at("versions")};
+    Item.Failures = Entry.at("failures");
+    Item.TextComplete = Entry.at("complete");
+  } catch (const std::exception &Error) {
+    logState("progress_unreadable",
+             {{"item", Item.Item->Id}, {"reason", Error.what()}});
+    Item.Text = {};
+    return;
+  }
+  // Text of an earlier job may be older than this one allows.
+  if (!Item.Text.Versions.empty() &&
+      *Item.Text.Versions.begin() < Item.Job->Job.MinVersion) {
+    Item.Text = {};
+    Item.TextComplete = false;
+  }
+}
+
 /// The trainer waits for TargetGroups groups. Those that are expected to take
 /// longest are left for last, but for groups that returned from an earlier
 /// job, which it always waits for.
@@ -293,6 +370,10 @@
     for (const auto &Item : Job->Items) {
       if (Item->Phase != item_phase::Waiting || Now < Item->NotBefore)
         continue;
+      if (Item->TextComplete) {
+        score(*Item);
+        continue;
+      }
       restartIfVersionGone(*Item);
       Waiting.push_back(
           {.Index = Candidates.size(),
@@ -481,6 +562,7 @@
 void job_scheduler::onRunEnd(item_state &Item, const item_run_end &End) {
   const std::string ReplicaId = Item.Run->replicaId();
   const time_point Now = event_loop::now();
+  const bool Progressed = Item.Run->events() > 0;
   stopRun(Item);
   metrics::get()
       .counter("item_runs_total", "outcome", toString(End.Outcome))
@@ -498,6 +580,7 @@
   switch (End.Outcome) {
   case item_run_outcome::Complete:
     Options.Directory.onCallSucceeded(ReplicaId);
+    Item.TextComplete = true;
     MeanTokens += MeanGain *
                   (double(Item.Text.Events) * tokensPerEvent() - MeanTokens);
     score(Item);
@@ -508,6 +591,10 @@
   case item_run_outcome::Misdirected:
   case item_run_outcome::Broken:
     Options.Directory.onCallFailed(ReplicaId, Now);
+    // A run that brought nothing is not repeated at once.
+    Item.EmptyRuns = Progressed ? 0 : std::min(Item.EmptyRuns + 1, 5U);
+    if (Item.EmptyRuns > 1)
+      retryLater(Item, FailurePause * (1U << Item.EmptyRuns));
     break;
   case item_run_outcome::TooOld:
     // Text of two versions where one is wanted cannot be used.
@@ -641,7 +728,8 @@
 }
 
 void job_scheduler::flush(const std::shared_ptr<job_state> &Job) {
-  if (Job->Writing || Job->Ended)
+  // Until the batches there are have been read, the next number is unknown.
+  if (Job->Writing || Job->Ended || !Job->Loaded)
     return;
   std::vector<item_result> Batch = Job->Log.nextBatch(Options.MaxBatchBytes);
   if (Batch.empty())
--- a/jobs/job_scheduler.h
+++ b/jobs/job_scheduler.h
@@ -92,6 +92,11 @@
   /// Items that run on the replica.
   [[nodiscard]] unsigned runningOn(std::string_view Replica) const;
   [[nodiscard]] size_t openJobs() const;
+  /// Texts and results that are not listed yet, for a successor.
+  [[nodiscard]] nlohmann::json exportProgress() const;
+  /// Progress of a predecessor, for jobs that are added later. Throws
+  /// std::invalid_argument for a document of another form.
+  void importProgress(const nlohmann::json &Progress);
 
 private:
   struct item_state;
@@ -99,6 +104,7 @@
   struct reader;
 
   void loadResults(const std::shared_ptr<job_state> &Job);
+  void takeImported(item_state &Item);
   void markSpareGroups(job_state &Job);
   void schedule();
   void moveSlowItems(time_point Now);
@@ -144,6 +150,8 @@
   std::map<std::string, unsigned, std::less<>> Running;
   std::map<std::string, time_point, std::less<>> RefusedUntil;
   double MeanTokens;
+  /// Items of a predecessor, by id, until their jobs are added.
+  std::map<std::string, nlohmann::json, std::less<>> Imported;
   bool SchedulePending = false;
   std::shared_ptr<timer_state> TickTimer;
   std::shared_ptr<bool> Alive = std::make_shared<bool>(true);
--- a/jobs/pool_role.cpp
+++ b/jobs/pool_role.cpp
@@ -17,7 +17,8 @@
   return {{"holder", Record.Holder},
           {"incarnation", Record.Incarnation},
           {"address", Record.Address},
-          {"token", Record.Token}};
+          {"token", Record.Token},
+          {"revision", Record.Revision}};
 }
 
 static pool_lease_record decodeLease(const stored_object &Object) {
@@ -46,9 +47,11 @@
 
 bool pool_role::serving(time_point Now) const {
   const object_link &Link = Options.Scheduler.Link;
+  if (Released)
+    return false;
   const bool HasStore =
       Link.reachable() || Now - Link.lostAt() < Options.MaxStoreSilence;
-  return Scheduler && JobWatcher->ready() && HasStore;
+  return Scheduler && JobWatcher && JobWatcher->ready() && HasStore;
 }
 
 void pool_role::start() {
@@ -191,11 +194,12 @@
           return;
         Writing = false;
         if (Reply.Outcome == object_outcome::Done && !Reply.Objects.empty()) {
+          const std::string Predecessor = Lease.record().Address;
           pool_lease_record Written = Record;
           Written.Revision = Reply.Objects.front().Revision;
           Lease.onWritten(Written, SentAt, event_loop::now());
           if (!Renewal)
-            becomeScheduler();
+            becomeScheduler(Predecessor);
           return;
         }
         logState("lease_write_failed",
@@ -224,9 +228,11 @@
           Rereading = false;
           if (Reply.Outcome == object_outcome::Done &&
               !Reply.Objects.empty()) {
+            const std::string Predecessor = Lease.record().Address;
+            const bool Held = Lease.holds();
             observe(Reply.Objects.front());
-            if (Lease.holds() && !Scheduler && !Released)
-              becomeScheduler();
+            if (Lease.holds() && !Held && !Scheduler && !Released)
+              becomeScheduler(Predecessor);
           } else if (Reply.Outcome == object_outcome::NotFound) {
             stored_object Absent;
             Absent.Removed = true;
@@ -238,7 +244,7 @@
   });
 }
 
-void pool_role::becomeScheduler() {
+void pool_role::becomeScheduler(const std::string &PredecessorAddress) {
   AcquiredAtRevision = Lease.record().Revision;
   AskFailed = 0;
   HolderDown = false;
@@ -273,6 +279,65 @@
           },
       .OnFenced = [this] { reread(); },
       .OnChanged = [this] { replicasChanged(); }});
+  if (PredecessorAddress.empty() ||
+      PredecessorAddress == Options.InnerAddress)
+    startWatching();
+  else
+    askForHandover(PredecessorAddress);
+}
+
+void pool_role::askForHandover(const std::string &Address) {
+  const http_request Question{
+      .Method = "POST",
+      .Target =
+          std::string(InnerHandoverPath) + "?pool=" + percentEncode(pool()),
+      .Headers = {{"Host", Address}},
+      .Body = encodeLease(Lease.record()).dump()};
+  HandoverCall = Options.Scheduler.Client.fetch(
+      Address, Question, Options.HandoverTimeout,
+      [this](const call_end &End, const http_response &Response) {
+        if (!Scheduler)
+          return;
+        try {
+          if (End.Result != call_result::Complete || Response.Status != 200)
+            throw std::invalid_argument(std::string(toString(End.Result)) +
+                                        ", status " +
+                                        std::to_string(Response.Status));
+          const json Progress = json::parse(Response.Body, nullptr,
+                                            /*allow_exceptions=*/false);
+          Scheduler->importProgress(Progress);
+          logState("handover_received",
+                   {{"pool", pool()},
+                    {"items", std::to_string(Progress.size())}});
+        } catch (const std::invalid_argument &Error) {
+          logState("handover_failed",
+                   {{"pool", pool()}, {"reason", Error.what()}});
+        }
+        startWatching();
+      });
+}
+
+json pool_role::handOver(const json &SuccessorLease) {
+  stored_object Object;
+  Object.Spec = SuccessorLease;
+  if (!SuccessorLease.is_object() || !SuccessorLease.contains("revision"))
+    throw std::invalid_argument("not a lease");
+  Object.Revision = SuccessorLease.value("revision", uint64_t(0));
+  if (Object.Revision <= Lease.record().Revision)
+    throw std::invalid_argument("the lease is not newer");
+  json Progress =
+      Scheduler ? Scheduler->exportProgress() : json::object();
+  logState("handover_given",
+           {{"pool", pool()},
+            {"to", SuccessorLease.value("holder", "")},
+            {"items", std::to_string(Progress.size())}});
+  observe(Object);
+  stepDown("handed over");
+  return Progress;
+}
+
+void pool_role::startWatching() {
+  HandoverCall.reset();
   JobWatcher = std::make_unique<object_watcher>(
       Options.Scheduler.Loop, Options.Scheduler.Link,
       object_watcher_options{
@@ -353,27 +418,23 @@
     Scheduler->scheduleSoon();
 }
 
-void pool_role::release(std::function<void()> Done) {
+void pool_role::release() {
   const bool Held = Lease.holds();
   Released = true;
   AskTimer.reset();
-  stepDown("shutdown");
-  if (!Held) {
-    Done();
+  if (!Held)
     return;
-  }
   pool_lease_record Record = Lease.proposal();
+  // The address stays, so that a successor can ask for the progress.
   Record.Holder.clear();
-  Record.Address.clear();
+  Record.Incarnation.clear();
   object_request Request{.Op = object_op::Replace,
                          .Kind = Options.LeaseKind,
                          .Name = pool(),
                          .Value = encodeLease(Record),
                          .Revision = Record.Revision};
-  Options.Scheduler.Link.call(
-      Request, [Done = std::move(Done)](const object_reply & /*Reply*/) {
-        Done();
-      });
+  logState("lease_released", {{"pool", pool()}});
+  Options.Scheduler.Link.call(Request, [](const object_reply & /*Reply*/) {});
 }
 
 } // namespace cardamom
--- a/jobs/pool_role.h
+++ b/jobs/pool_role.h
@@ -49,7 +49,10 @@
   unsigned AskFailures = 2;
   /// A holder that has lost the store for this long says that it cannot
   /// serve.
-  milliseconds MaxStoreSilence{700};
+  milliseconds MaxStoreSilence{400};
+  /// A new scheduler starts without the progress of its predecessor when that
+  /// does not answer in time.
+  milliseconds HandoverTimeout{500};
   /// A holder reads its lease this often, to learn of a successor whose
   /// questions it does not get.
   milliseconds RereadInterval{5000};
@@ -80,8 +83,12 @@
   /// pool's jobs, and the store answers.
   [[nodiscard]] bool serving(time_point Now) const;
   [[nodiscard]] bool holds() const { return Lease.holds(); }
-  /// Gives the lease up and takes it no more.
-  void release(std::function<void()> Done);
+  /// Gives the lease up and takes it no more; goes on with its jobs until a
+  /// successor asks for them.
+  void release();
+  /// The successor's question: stops, and returns the progress. Lease is the
+  /// successor's, as encoded by it. Throws std::invalid_argument.
+  nlohmann::json handOver(const nlohmann::json &SuccessorLease);
   void replicasChanged();
   [[nodiscard]] const std::string &pool() const {
     return Options.Scheduler.Pool;
@@ -98,7 +105,9 @@
   void renew();
   void write(const pool_lease_record &Record, bool Renewal);
   void reread();
-  void becomeScheduler();
+  void becomeScheduler(const std::string &PredecessorAddress);
+  void askForHandover(const std::string &Address);
+  void startWatching();
   void stepDown(std::string_view Reason);
   void onJob(const stored_object &Object, bool Listed);
 
@@ -118,6 +127,7 @@
   std::unique_ptr<object_watcher> JobWatcher;
   std::unique_ptr<object_watcher> WeightWatcher;
   std::shared_ptr<client_call_state> AskCall;
+  std::shared_ptr<client_call_state> HandoverCall;
   std::shared_ptr<timer_state> AskTimer;
   std::shared_ptr<timer_state> AcquireTimer;
   std::shared_ptr<bool> Alive = std::make_shared<bool>(true);
--- a/jobs/result_log.h
+++ b/jobs/result_log.h
@@ -53,6 +53,10 @@
   [[nodiscard]] const std::vector<item_result> &listed() const {
     return Listed;
   }
+  /// Results that wait to be listed.
+  [[nodiscard]] std::vector<item_result> waiting() const {
+    return {Queue.begin(), Queue.end()};
+  }
   [[nodiscard]] bool isListed(std::string_view ItemId) const;
 
 private:
--- a/server/gateway.cpp
+++ b/server/gateway.cpp
@@ -64,6 +64,7 @@
   void housekeeping();
   void handleInner(const exchange_ptr &Exchange);
   void innerResults(const exchange_ptr &Exchange, pool_role *Role);
+  static void innerHandover(const exchange_ptr &Exchange, pool_role *Role);
   void answerReady(const exchange_ptr &Exchange) const;
   void stop();
   void checkStopped();
@@ -425,6 +426,8 @@
     Exchange->answer({.Status = Status, .Headers = {}, .Body = {}});
   } else if (Path == InnerResultsPath) {
     innerResults(Exchange, Role);
+  } else if (Path == InnerHandoverPath) {
+    innerHandover(Exchange, Role);
   } else if (Path == InnerEndPath) {
     if (Role && Role->scheduler())
       Role->scheduler()->endJob(queryParameter(Target, "job"));
@@ -454,6 +457,24 @@
   });
 }
 
+void gateway::state::innerHandover(const exchange_ptr &Exchange,
+                                   pool_role *Role) {
+  try {
+    if (!Role)
+      throw std::invalid_argument("unknown pool");
+    const nlohmann::json Lease = nlohmann::json::parse(
+        Exchange->request().Body, nullptr, /*allow_exceptions=*/false);
+    Exchange->answer({.Status = 200,
+                      .Headers = {{"Content-Type", "application/json"}},
+                      .Body = Role->handOver(Lease).dump(
+                          -1, ' ', false,
+                          nlohmann::json::error_handler_t::replace)});
+  } catch (const std::invalid_argument &Error) {
+    logState("handover_refused", {{"reason", Error.what()}});
+    Exchange->answer({.Status = 409, .Headers = {}, .Body = Error.what()});
+  }
+}
+
 void gateway::state::stop() {
   if (Stopping)
     return;
@@ -462,7 +483,7 @@
   logState("stopping", {{"in_flight",
                          std::to_string(CallerServer->requestsInFlight())}});
   for (const auto &[Name, Pool] : Pools)
-    Pool->release([] {});
+    Pool->release();
   checkStopped();
 }
 
