Give each trained model a share of the replicas; keep checkpoints of long items

After a takeover orders waited a whole lease although the former holder had said that it had stopped. A new scheduler that was still reading its jobs was taken for down and replaced again.

--- a/jobs/inner_paths.h
+++ b/jobs/inner_paths.h
@@ -20,6 +20,9 @@
 /// POST ?pool=P, body: the lease that the caller has taken. The former
 /// scheduler stops and answers with the progress of its items.
 inline constexpr std::string_view InnerHandoverPath = "/inner/handover";
+/// POST ?pool=P, body: progress of long items, kept for a successor of the
+/// sender. GET ?pool=P: the progress kept last.
+inline constexpr std::string_view InnerCheckpointPath = "/inner/checkpoint";
 /// Any method, followed by the target of a caller's request: a call on a batch
 /// job that the sender cannot serve because it has lost the store. It is not
 /// passed on again.
--- a/jobs/job_desk.cpp
+++ b/jobs/job_desk.cpp
@@ -109,7 +109,8 @@
 }
 
 void job_desk::passOn(const visit_ptr &Visit, std::string_view Reason) {
-  if (!Visit->PeersChosen && !Visit->Forwarded) {
+  const bool AllLost = event_loop::now() - AllLostAt < Options.ForwardPause;
+  if (!Visit->PeersChosen && !Visit->Forwarded && !AllLost) {
     Visit->Peers = Options.Peers();
     if (Visit->Peers.size() > Options.MaxForwards)
       Visit->Peers.resize(Options.MaxForwards);
@@ -128,6 +129,8 @@
 
 void job_desk::askPeer(const visit_ptr &Visit, std::string_view Reason) {
   if (Visit->Peers.empty()) {
+    if (Visit->PeersChosen)
+      AllLostAt = event_loop::now();
     unavailable(Visit, Reason);
     return;
   }
--- a/jobs/job_desk.h
+++ b/jobs/job_desk.h
@@ -48,6 +48,9 @@
   /// Other gateways that are asked to serve a call when this one has lost the
   /// store.
   unsigned MaxForwards = 2;
+  /// No call is passed on for this long after the others had lost the store
+  /// too.
+  milliseconds ForwardPause{300};
 };
 
 class job_desk {
@@ -90,6 +93,8 @@
 
   job_desk_options Options;
   job_archive Archive;
+  /// When all gateways that were asked had lost the store.
+  time_point AllLostAt{};
   uint64_t NextCall = 0;
   std::map<uint64_t, std::shared_ptr<client_call_state>> Calls;
   std::shared_ptr<bool> Alive = std::make_shared<bool>(true);
--- a/jobs/job_scheduler.cpp
+++ b/jobs/job_scheduler.cpp
@@ -52,6 +52,7 @@
   unsigned ScoringFailures = 0;
   bool Spare = false;
   time_point NotBefore{};
+  time_point FirstStartedAt{};
   std::string LastReplica;
   /// Events of the run, and their time, that speed was learned from.
   uint64_t SeenEvents = 0;
@@ -206,7 +207,8 @@
       });
 }
 
-nlohmann::json job_scheduler::exportProgress() const {
+nlohmann::json job_scheduler::exportProgress(milliseconds MinAge) const {
+  const time_point Now = event_loop::now();
   nlohmann::json Progress = nlohmann::json::object();
   for (const auto &[Id, Job] : Jobs) {
     if (Job->Ended)
@@ -216,7 +218,7 @@
     for (const auto &Item : Job->Items) {
       const item_text &Text = Item->Text;
       if (Item->Phase == item_phase::Done || Text.Events == 0 ||
-          !Text.LastEvent)
+          !Text.LastEvent || Now - Item->FirstStartedAt < MinAge)
         continue;
       Progress[Item->Item->Id] = {
           {"text", Text.Text},
@@ -522,6 +524,8 @@
                            : "none"}});
   Item.Phase = item_phase::Running;
   Item.SeenEvents = 0;
+  if (Item.FirstStartedAt == time_point{})
+    Item.FirstStartedAt = event_loop::now();
   ++Running[ReplicaId];
   metrics::get().counter("items_started_total").add();
   // The run must not be destroyed from inside its own hook.
--- a/jobs/job_scheduler.h
+++ b/jobs/job_scheduler.h
@@ -93,7 +93,10 @@
   [[nodiscard]] unsigned runningOn(std::string_view Replica) const;
   [[nodiscard]] size_t openJobs() const;
   /// Texts and results that are not listed yet, for a successor.
-  [[nodiscard]] nlohmann::json exportProgress() const;
+  /// MinAge: only of items that have run for longer, which cost most to begin
+  /// anew.
+  [[nodiscard]] nlohmann::json
+  exportProgress(milliseconds MinAge = milliseconds(0)) const;
   /// Progress of a predecessor, for jobs that are added later. Throws
   /// std::invalid_argument for a document of another form.
   void importProgress(const nlohmann::json &Progress);
--- a/jobs/pool_role.cpp
+++ b/jobs/pool_role.cpp
@@ -51,7 +51,10 @@
     return false;
   const bool HasStore =
       Link.reachable() || Now - Link.lostAt() < Options.MaxStoreSilence;
-  return Scheduler && JobWatcher && JobWatcher->ready() && HasStore;
+  // One that has just begun is on its way, and need not be replaced.
+  const bool Starting = Now - StartedAt < Options.StartGrace;
+  const bool HasJobs = JobWatcher && JobWatcher->ready();
+  return Scheduler && HasStore && (HasJobs || Starting);
 }
 
 void pool_role::start() {
@@ -128,12 +131,24 @@
 
 void pool_role::onAsked(const call_end &End, unsigned Status) {
   static constexpr unsigned StatusOk = 200;
+  static constexpr unsigned StatusUnavailable = 503;
   const bool Answered = End.Result == call_result::Complete;
   if (Answered && Status == StatusOk) {
     AskFailed = 0;
     HolderDown = false;
     return;
   }
+  // After an outage of the whole store the holder may not know yet that it is
+  // over.
+  const object_link &Link = Options.Scheduler.Link;
+  const bool AfterOutage = !Link.reachable() ||
+                           event_loop::now() - Link.backAt() <
+                               Options.OutageGrace;
+  if (Answered && Status == StatusUnavailable && AfterOutage &&
+      Link.backAt() != time_point{})
+    return;
+  if (!Link.reachable())
+    return;
   // An answer other than "serving" needs no second question.
   AskFailed += Answered ? Options.AskFailures : 1;
   if (AskFailed < Options.AskFailures)
@@ -246,6 +261,7 @@
 
 void pool_role::becomeScheduler(const std::string &PredecessorAddress) {
   AcquiredAtRevision = Lease.record().Revision;
+  StartedAt = event_loop::now();
   AskFailed = 0;
   HolderDown = false;
   logState("scheduler_started",
@@ -279,9 +295,10 @@
           },
       .OnFenced = [this] { reread(); },
       .OnChanged = [this] { replicasChanged(); }});
-  if (PredecessorAddress.empty() ||
-      PredecessorAddress == Options.InnerAddress)
+  if (PredecessorAddress.empty())
     startWatching();
+  else if (PredecessorAddress == Options.InnerAddress)
+    askForCheckpoint(Options.StandBys(pool()));
   else
     askForHandover(PredecessorAddress);
 }
@@ -298,25 +315,96 @@
       [this](const call_end &End, const http_response &Response) {
         if (!Scheduler)
           return;
-        try {
-          if (End.Result != call_result::Complete || Response.Status != 200)
-            throw std::invalid_argument(std::string(toString(End.Result)) +
-                                        ", status " +
-                                        std::to_string(Response.Status));
-          const json Progress = json::parse(Response.Body, nullptr,
-                                            /*allow_exceptions=*/false);
-          Scheduler->importProgress(Progress);
-          logState("handover_received",
-                   {{"pool", pool()},
-                    {"items", std::to_string(Progress.size())}});
-        } catch (const std::invalid_argument &Error) {
-          logState("handover_failed",
-                   {{"pool", pool()}, {"reason", Error.what()}});
+        const bool Given = End.Result == call_result::Complete &&
+                           Response.Status == 200 &&
+                           takeProgress(Response.Body, "predecessor");
+        if (Given) {
+          Lease.predecessorStopped(event_loop::now());
+          startWatching();
+          return;
         }
-        startWatching();
+        logState("handover_failed",
+                 {{"pool", pool()},
+                  {"result", std::string(toString(End.Result))},
+                  {"status", std::to_string(Response.Status)}});
+        askForCheckpoint(Options.StandBys(pool()));
       });
 }
 
+/// The predecessor is gone: what it has sent to its stand-by is all there is.
+void pool_role::askForCheckpoint(std::vector<std::string> Addresses) {
+  // The first is this process's choice; the predecessor's may be the second,
+  // because each leaves itself out.
+  static constexpr size_t MaxStandBys = 2;
+  if (!Checkpoint.empty() && takeProgress(Checkpoint, "own checkpoint"))
+    Addresses.clear();
+  if (Addresses.size() > MaxStandBys)
+    Addresses.resize(MaxStandBys);
+  if (Addresses.empty()) {
+    startWatching();
+    return;
+  }
+  const std::string Address = Addresses.front();
+  Addresses.erase(Addresses.begin());
+  const http_request Question{.Method = "GET",
+                              .Target = std::string(InnerCheckpointPath) +
+                                        "?pool=" + percentEncode(pool()),
+                              .Headers = {{"Host", Address}},
+                              .Body = {}};
+  HandoverCall = Options.Scheduler.Client.fetch(
+      Address, Question, Options.HandoverTimeout,
+      [this, Address, Addresses = std::move(Addresses)](
+          const call_end &End, const http_response &Response) {
+        if (!Scheduler)
+          return;
+        if (End.Result == call_result::Complete && Response.Status == 200 &&
+            takeProgress(Response.Body, Address))
+          startWatching();
+        else
+          askForCheckpoint(Addresses);
+      });
+}
+
+bool pool_role::takeProgress(std::string_view Document,
+                             std::string_view Source) {
+  try {
+    const json Progress =
+        json::parse(Document, nullptr, /*allow_exceptions=*/false);
+    Scheduler->importProgress(Progress);
+    logState("progress_taken", {{"pool", pool()},
+                                {"from", std::string(Source)},
+                                {"items", std::to_string(Progress.size())}});
+    return true;
+  } catch (const std::invalid_argument &Error) {
+    logState("progress_unreadable",
+             {{"pool", pool()}, {"reason", Error.what()}});
+    return false;
+  }
+}
+
+void pool_role::sendCheckpoint() {
+  CheckpointTimer = Options.Scheduler.Loop.after(
+      Options.CheckpointInterval, [this] { sendCheckpoint(); });
+  const std::vector<std::string> StandBys = Options.StandBys(pool());
+  if (!Scheduler || StandBys.empty())
+    return;
+  const json Progress = Scheduler->exportProgress(Options.CheckpointMinAge);
+  std::string Document = Progress.dump(-1, ' ', false,
+                                       json::error_handler_t::replace);
+  if (Document == Checkpoint)
+    return;
+  Checkpoint = Document;
+  const http_request Notice{.Method = "POST",
+                            .Target = std::string(InnerCheckpointPath) +
+                                      "?pool=" + percentEncode(pool()),
+                            .Headers = {{"Host", StandBys.front()}},
+                            .Body = std::move(Document)};
+  // A checkpoint that is lost is replaced by the next.
+  CheckpointCall = Options.Scheduler.Client.fetch(
+      StandBys.front(), Notice, Options.CheckpointInterval,
+      [](const call_end & /*End*/, const http_response & /*Response*/) {});
+}
+
 json pool_role::handOver(const json &SuccessorLease) {
   stored_object Object;
   Object.Spec = SuccessorLease;
@@ -337,7 +425,8 @@
 }
 
 void pool_role::startWatching() {
-  HandoverCall.reset();
+  Checkpoint.clear();
+  sendCheckpoint();
   JobWatcher = std::make_unique<object_watcher>(
       Options.Scheduler.Loop, Options.Scheduler.Link,
       object_watcher_options{
@@ -380,6 +469,7 @@
 void pool_role::stepDown(std::string_view Reason) {
   if (!Scheduler)
     return;
+  CheckpointTimer.reset();
   logState("scheduler_stopped",
            {{"pool", pool()}, {"reason", std::string(Reason)}});
   // Reached from hooks of the objects that are given up.
--- a/jobs/pool_role.h
+++ b/jobs/pool_role.h
@@ -24,6 +24,7 @@
 #include <functional>
 #include <memory>
 #include <string>
+#include <vector>
 
 namespace cardamom {
 
@@ -39,6 +40,8 @@
   milliseconds LeaseLength{3000};
   std::string LeaseKind;
   std::string JobKind;
+  /// Inner addresses of other gateways, the same order for all of them.
+  std::function<std::vector<std::string>(const std::string &Pool)> StandBys;
   /// Uniform random number in [0, 1).
   std::function<double()> Random;
   /// Pause between two questions to the holder.
@@ -53,6 +56,14 @@
   /// A new scheduler starts without the progress of its predecessor when that
   /// does not answer in time.
   milliseconds HandoverTimeout{500};
+  /// How often the progress of long items is sent to a stand-by, and how long
+  /// an item must have run for that.
+  milliseconds CheckpointInterval{500};
+  milliseconds CheckpointMinAge{1000};
+  /// After an outage a holder gets this long to say that it serves again.
+  milliseconds OutageGrace{1200};
+  /// Time within which a new scheduler has read its jobs.
+  milliseconds StartGrace{3000};
   /// A holder reads its lease this often, to learn of a successor whose
   /// questions it does not get.
   milliseconds RereadInterval{5000};
@@ -89,6 +100,11 @@
   /// The successor's question: stops, and returns the progress. Lease is the
   /// successor's, as encoded by it. Throws std::invalid_argument.
   nlohmann::json handOver(const nlohmann::json &SuccessorLease);
+  /// Progress that another gateway's scheduler keeps here.
+  void keepCheckpoint(std::string Progress) {
+    Checkpoint = std::move(Progress);
+  }
+  [[nodiscard]] const std::string &checkpoint() const { return Checkpoint; }
   void replicasChanged();
   [[nodiscard]] const std::string &pool() const {
     return Options.Scheduler.Pool;
@@ -107,6 +123,9 @@
   void reread();
   void becomeScheduler(const std::string &PredecessorAddress);
   void askForHandover(const std::string &Address);
+  void askForCheckpoint(std::vector<std::string> Addresses);
+  bool takeProgress(std::string_view Document, std::string_view Source);
+  void sendCheckpoint();
   void startWatching();
   void stepDown(std::string_view Reason);
   void onJob(const stored_object &Object, bool Listed);
@@ -117,6 +136,7 @@
   bool Asking = false;
   bool Rereading = false;
   time_point TickedAt{};
+  time_point StartedAt{};
   time_point ReadAt{};
   bool Writing = false;
   bool Released = false;
@@ -128,6 +148,9 @@
   std::unique_ptr<object_watcher> WeightWatcher;
   std::shared_ptr<client_call_state> AskCall;
   std::shared_ptr<client_call_state> HandoverCall;
+  std::shared_ptr<client_call_state> CheckpointCall;
+  std::shared_ptr<timer_state> CheckpointTimer;
+  std::string Checkpoint;
   std::shared_ptr<timer_state> AskTimer;
   std::shared_ptr<timer_state> AcquireTimer;
   std::shared_ptr<bool> Alive = std::make_shared<bool>(true);
--- a/jobs/weight_driver.cpp
+++ b/jobs/weight_driver.cpp
@@ -48,17 +48,22 @@
 
 void weight_driver::plan() {
   const time_point Now = event_loop::now();
-  const std::vector<const replica *> Usable =
-      Options.Directory.usable(Options.Pool, Now);
   std::vector<weight_replica> Replicas;
-  for (const replica *Replica : Usable) {
-    const auto Paused = NotBefore.find(Replica->Id);
-    if (Paused != NotBefore.end() && Now < Paused->second)
+  for (const replica *Replica : Options.Directory.listed(Options.Pool)) {
+    if (Replica->Draining)
       continue;
     weight_replica View{.Id = Replica->Id,
                         .Versions = {},
                         .Busy = Changes.contains(Replica->Id),
                         .Running = Options.RunningOn(Replica->Id)};
+    const auto Paused = NotBefore.find(Replica->Id);
+    const bool Waits = (Paused != NotBefore.end() && Now < Paused->second) ||
+                       Options.Directory.avoided(Replica->Id, Now);
+    // One without versions keeps its share but gets no order.
+    if (Waits && !View.Busy) {
+      Replicas.push_back(std::move(View));
+      continue;
+    }
     for (const auto &[Model, Version] : Replica->Versions)
       View.Versions[Model] = Version;
     Replicas.push_back(std::move(View));
--- a/policy/lease.h
+++ b/policy/lease.h
@@ -19,6 +19,7 @@
 
 #include "base/time.h"
 
+#include <algorithm>
 #include <cstdint>
 #include <optional>
 #include <string>
@@ -67,6 +68,9 @@
   void onWritten(const pool_lease_record &Written, time_point SentAt,
                  time_point Now);
 
+  /// The former holder has said that it has stopped.
+  void predecessorStopped(time_point Now) { ActFrom = std::min(ActFrom, Now); }
+
   /// Whether the holder may act on others' behalf now.
   [[nodiscard]] bool mayAct(time_point Now) const;
   /// Whether the holder should renew before it acts.
--- a/policy/weight_plan.cpp
+++ b/policy/weight_plan.cpp
@@ -1,5 +1,7 @@
 #include "policy/weight_plan.h"
 
+#include "policy/rendezvous.h"
+
 #include <algorithm>
 #include <cmath>
 #include <set>
@@ -15,9 +17,48 @@
 };
 } // namespace
 
+std::vector<std::string>
+assignModels(std::span<const weight_replica> Replicas,
+             std::span<const std::string> Models) {
+  struct preference {
+    uint64_t Score;
+    size_t Replica;
+    size_t Model;
+  };
+  std::vector<preference> Preferences;
+  for (size_t R = 0; R < Replicas.size(); ++R)
+    for (size_t M = 0; M < Models.size(); ++M)
+      Preferences.push_back(
+          {.Score = rendezvousScore(Replicas[R].Id, Models[M]),
+           .Replica = R,
+           .Model = M});
+  std::sort(Preferences.begin(), Preferences.end(),
+            [](const preference &A, const preference &B) {
+              return A.Score > B.Score;
+            });
+  const size_t Quota = (Replicas.size() + Models.size() - 1) / Models.size();
+  std::vector<size_t> Taken(Models.size());
+  std::vector<std::string> Assigned(Replicas.size());
+  for (const preference &Preference : Preferences) {
+    if (!Assigned[Preference.Replica].empty() ||
+        Taken[Preference.Model] == Quota)
+      continue;
+    ++Taken[Preference.Model];
+    Assigned[Preference.Replica] = Models[Preference.Model];
+  }
+  return Assigned;
+}
+
 std::vector<weight_change> planWeightChanges(const weight_plan_input &Input) {
   const auto Limit = std::max<long>(
       1, std::lround(Input.ConcurrentShare * double(Input.Replicas.size())));
+  std::vector<std::string> Models;
+  for (const auto &[Model, Version] : Input.Named)
+    Models.push_back(Model);
+  if (Models.empty())
+    return {};
+  const std::vector<std::string> Assigned =
+      assignModels(Input.Replicas, Models);
   long Busy = 0;
   std::vector<candidate> Candidates;
   for (size_t I = 0; I < Input.Replicas.size(); ++I) {
@@ -28,7 +69,8 @@
     }
     for (const auto &[Model, Version] : Replica.Versions) {
       const auto Named = Input.Named.find(Model);
-      if (Named == Input.Named.end() || Named->second <= Version)
+      if (Named == Input.Named.end() || Named->second <= Version ||
+          Assigned[I] != Model)
         continue;
       Candidates.push_back({.Behind = Named->second - Version,
                             .Running = Replica.Running,
--- a/server/gateway.cpp
+++ b/server/gateway.cpp
@@ -9,6 +9,7 @@
 #include "jobs/inner_paths.h"
 #include "jobs/job_desk.h"
 #include "jobs/pool_role.h"
+#include "policy/rendezvous.h"
 #include "policy/router.h"
 #include "server/caller_front.h"
 #include "store/object_watcher.h"
@@ -55,6 +56,7 @@
   void registerSelf();
   void onGateway(const stored_object &Object);
   std::vector<std::string> peers();
+  std::vector<std::string> standBys(const std::string &Pool);
   void onRetirement(const stored_object &Object);
   std::optional<replica> readReplica(const stored_object &Object);
   [[nodiscard]] bool afterOutage() const;
@@ -64,6 +66,7 @@
   void housekeeping();
   void handleInner(const exchange_ptr &Exchange);
   void innerResults(const exchange_ptr &Exchange, pool_role *Role);
+  static void innerCheckpoint(const exchange_ptr &Exchange, pool_role *Role);
   static void innerHandover(const exchange_ptr &Exchange, pool_role *Role);
   void answerReady(const exchange_ptr &Exchange) const;
   void stop();
@@ -309,6 +312,20 @@
   return Addresses;
 }
 
+/// Inner addresses of the other gateways, best first by rendezvous hashing.
+std::vector<std::string>
+gateway::state::standBys(const std::string &Pool) {
+  std::vector<std::pair<uint64_t, std::string>> Ranked;
+  for (const auto &[Name, Address] : Gateways)
+    if (Address != Options.InnerListen && !Address.empty())
+      Ranked.emplace_back(rendezvousScore(Pool, Name), Address);
+  std::sort(Ranked.rbegin(), Ranked.rend());
+  std::vector<std::string> Addresses;
+  for (auto &[Score, Address] : Ranked)
+    Addresses.push_back(std::move(Address));
+  return Addresses;
+}
+
 /// Each service of model engines is a pool.
 void gateway::state::updatePools() {
   if (Stopping)
@@ -351,6 +368,8 @@
       .LeaseLength = Options.LeaseLength,
       .LeaseKind = std::string(LeaseKind),
       .JobKind = std::string(JobKind),
+      .StandBys =
+          [this](const std::string &Pool) { return standBys(Pool); },
       .Random = [this] { return random(); }});
 }
 
@@ -428,6 +447,8 @@
     innerResults(Exchange, Role);
   } else if (Path == InnerHandoverPath) {
     innerHandover(Exchange, Role);
+  } else if (Path == InnerCheckpointPath) {
+    innerCheckpoint(Exchange, Role);
   } else if (Path == InnerEndPath) {
     if (Role && Role->scheduler())
       Role->scheduler()->endJob(queryParameter(Target, "job"));
@@ -457,6 +478,20 @@
   });
 }
 
+void gateway::state::innerCheckpoint(const exchange_ptr &Exchange,
+                                     pool_role *Role) {
+  if (Exchange->request().Method == "POST") {
+    if (Role)
+      Role->keepCheckpoint(Exchange->request().Body);
+    Exchange->answer({.Status = 200, .Headers = {}, .Body = {}});
+    return;
+  }
+  const bool Has = Role && !Role->checkpoint().empty();
+  Exchange->answer({.Status = Has ? 200U : 404U,
+                    .Headers = {{"Content-Type", "application/json"}},
+                    .Body = Has ? Role->checkpoint() : std::string()});
+}
+
 void gateway::state::innerHandover(const exchange_ptr &Exchange,
                                    pool_role *Role) {
   try {
