Pace watches; end the grace after an outage at a fixed time

Ruled out: a late watch (the removal was seen 182 ms after it was acknowledged). Change: watches of replicas, configurations and gateways wait 800, 300 and 2000 ms after a change; the grace ends 2.2 s after the store's return.

--- a/gateway/replica_directory.cpp
+++ b/gateway/replica_directory.cpp
@@ -15,7 +15,8 @@
 }
 
 void replica_directory::replaceAll(std::span<const replica> Replicas,
-                                   bool AfterOutage, time_point Now) {
+                                   std::optional<time_point> MayReturnUntil,
+                                   time_point Now) {
   std::set<std::string, std::less<>> Listed;
   for (const replica &Replica : Replicas) {
     Listed.insert(Replica.Id);
@@ -26,7 +27,7 @@
     if (!Listed.contains(Id))
       Missing.push_back(Id);
   for (const std::string &Id : Missing)
-    remove(Id, AfterOutage, Now);
+    remove(Id, MayReturnUntil, Now);
 }
 
 void replica_directory::update(const replica &Replica, time_point /*Now*/) {
@@ -59,14 +60,16 @@
     log("replica_state", Replica, Replica.Draining ? "draining" : "ready");
 }
 
-void replica_directory::remove(std::string_view Id, bool AfterOutage,
+void replica_directory::remove(std::string_view Id,
+                               std::optional<time_point> MayReturnUntil,
                                time_point Now) {
   const auto It = Entries.find(Id);
   if (It == Entries.end())
     return;
-  if (AfterOutage && !It->second.Replica.Draining) {
+  if (MayReturnUntil && Now < *MayReturnUntil &&
+      !It->second.Replica.Draining) {
     if (!It->second.MissingUntil) {
-      It->second.MissingUntil = Now + Options.OutageGrace;
+      It->second.MissingUntil = MayReturnUntil;
       log("replica_missing", It->second.Replica, "store was lost");
     }
     return;
--- a/gateway/replica_directory.h
+++ b/gateway/replica_directory.h
@@ -4,7 +4,7 @@
 ///
 /// Use:
 ///   replica_directory Directory({...});
-///   Directory.replaceAll(Replicas, StoreWasLost, Now);
+///   Directory.replaceAll(Replicas, MayReturnUntil, Now);
 ///   for (const replica *R : Directory.usable("service", Now)) ...
 ///   Directory.onCallFailed(Id, Now);
 ///
@@ -42,9 +42,6 @@
 };
 
 struct replica_directory_options {
-  /// A replica that is not listed right after an outage of the store may
-  /// register again within this time.
-  milliseconds OutageGrace{2500};
   /// Pause after a failed call; doubles with each further one.
   milliseconds AvoidMin{250};
   milliseconds AvoidMax{4000};
@@ -59,12 +56,13 @@
 public:
   explicit replica_directory(replica_directory_options Options);
 
-  /// Installs a whole list. AfterOutage: the store has just come back, and
-  /// may not yet list replicas that are alive.
-  void replaceAll(std::span<const replica> Replicas, bool AfterOutage,
-                  time_point Now);
+  /// Installs a whole list. MayReturnUntil: the store has just come back, and
+  /// replicas that are alive but not listed register again until then.
+  void replaceAll(std::span<const replica> Replicas,
+                  std::optional<time_point> MayReturnUntil, time_point Now);
   void update(const replica &Replica, time_point Now);
-  void remove(std::string_view Id, bool AfterOutage, time_point Now);
+  void remove(std::string_view Id, std::optional<time_point> MayReturnUntil,
+              time_point Now);
   /// Drops the replicas whose grace after an outage is over.
   void expire(time_point Now);
 
--- a/gateway/replica_directory_test.cpp
+++ b/gateway/replica_directory_test.cpp
@@ -9,6 +9,7 @@
   CPPUNIT_TEST(drainingReplicaGetsNoWork);
   CPPUNIT_TEST(removedReplicaIsGoneAtOnce);
   CPPUNIT_TEST(missingAfterOutageHasGrace);
+  CPPUNIT_TEST(leavingSoonAfterOutageIsNotHeldLonger);
   CPPUNIT_TEST(restartUnderOneIdForgetsVersions);
   CPPUNIT_TEST(failingReplicaIsAvoidedWhileOthersRemain);
   CPPUNIT_TEST_SUITE_END();
@@ -39,7 +40,7 @@
   void removedReplicaIsGoneAtOnce() {
     replica_directory Directory({});
     Directory.update(make("r"), at(0));
-    Directory.remove("r", /*AfterOutage=*/false, at(1));
+    Directory.remove("r", std::nullopt, at(1));
     CPPUNIT_ASSERT(!Directory.find("r"));
   }
 
@@ -49,7 +50,7 @@
     replica_directory Directory({});
     Directory.update(make("r"), at(0));
     Directory.update(make("q"), at(0));
-    Directory.replaceAll({}, /*AfterOutage=*/true, at(1000));
+    Directory.replaceAll({}, /*MayReturnUntil=*/at(3500), at(1000));
     CPPUNIT_ASSERT_EQUAL(size_t(2), Directory.usable("s", at(1000)).size());
     Directory.update(make("r"), at(2000));
     Directory.expire(at(3500));
@@ -57,6 +58,17 @@
     CPPUNIT_ASSERT(!Directory.find("q"));
   }
 
+  // Guards against new work for a replica that leaves, without notice, soon
+  // after an outage (DRAIN on trouble-1 of Tidewater, seed 131376675237: the
+  // grace began anew with the removal).
+  void leavingSoonAfterOutageIsNotHeldLonger() {
+    replica_directory Directory({});
+    Directory.update(make("r"), at(0));
+    Directory.remove("r", /*MayReturnUntil=*/at(2200), at(1650));
+    Directory.expire(at(2200));
+    CPPUNIT_ASSERT(!Directory.find("r"));
+  }
+
   // Guards against work for weights that a restarted replica does not have.
   void restartUnderOneIdForgetsVersions() {
     replica_directory Directory({});
--- a/server/gateway.cpp
+++ b/server/gateway.cpp
@@ -27,10 +27,19 @@
 static constexpr std::string_view ResultKind = "job-results";
 static constexpr std::string_view LeaseKind = "pool-leases";
 static constexpr std::string_view GatewayKind = "gateways";
+/// Each change of a list costs one call for each gateway that watches it, and
+/// replicas change with each load of weights. The pace is well under the time
+/// within which a leaving replica must get no more work (2 s).
+static constexpr milliseconds ReplicaPace{800};
+/// Well under the time within which a configuration must be in force (2 s).
+static constexpr milliseconds ConfigPace{300};
+/// Gateways only look for one another after a failure.
+static constexpr milliseconds GatewayPace{2000};
 /// How often replicas that are missing after an outage are looked at.
-static constexpr milliseconds HousekeepingInterval{500};
-/// A replica that is missing this soon after an outage may come back.
-static constexpr milliseconds OutageMemory{3000};
+static constexpr milliseconds HousekeepingInterval{250};
+/// Replicas whose entries lapsed during an outage of the store are listed again
+/// within about two seconds of its return; one still missing then is gone.
+static constexpr milliseconds ReturnTime{2200};
 /// How often a stopping process looks whether all is answered.
 static constexpr milliseconds StopCheckInterval{50};
 /// Idle connections of callers are closed this long after their last answer
@@ -49,7 +58,8 @@
   state(event_loop &Loop, http_client &Client, gateway_options Given);
 
   void start();
-  void watch(std::string Kind, std::function<void(const stored_object &)> Each);
+  void watch(std::string Kind, milliseconds Pace,
+             std::function<void(const stored_object &)> Each);
   void onStore(bool Reachable, const std::string &Detail);
   void watchReplicas();
   void onConfig(const stored_object &Object);
@@ -59,7 +69,7 @@
   std::vector<std::string> standBys(const std::string &Pool);
   void onRetirement(const stored_object &Object);
   std::optional<replica> readReplica(const stored_object &Object);
-  [[nodiscard]] bool afterOutage() const;
+  [[nodiscard]] std::optional<time_point> mayReturnUntil() const;
   void updatePools();
   pool_role *findPool(const std::string &Name);
   std::unique_ptr<pool_role> makePool(const std::string &Name);
@@ -177,18 +187,18 @@
                                     handleInner(E);
                                   }});
   const platform_objects &Objects = Options.Protocols.Objects;
-  watch(Objects.ConfigKind,
+  watch(Objects.ConfigKind, ConfigPace,
         [this](const stored_object &Object) { onConfig(Object); });
   watchReplicas();
-  watch(std::string(GatewayKind),
+  watch(std::string(GatewayKind), GatewayPace,
         [this](const stored_object &Object) { onGateway(Object); });
   registerSelf();
-  watch(Objects.RetirementKind,
+  watch(Objects.RetirementKind, milliseconds(0),
         [this](const stored_object &Object) { onRetirement(Object); });
   housekeeping();
 }
 
-void gateway::state::watch(std::string Kind,
+void gateway::state::watch(std::string Kind, milliseconds Pace,
                            std::function<void(const stored_object &)> Each) {
   Watchers.push_back(std::make_unique<object_watcher>(
       Loop, Link,
@@ -199,7 +209,8 @@
                 for (const stored_object &Object : All)
                   Each(Object);
               },
-          .OnChange = Each}));
+          .OnChange = Each,
+          .Pace = Pace}));
   Watchers.back()->start();
 }
 
@@ -211,10 +222,12 @@
     Pool->onStoreBack();
 }
 
-bool gateway::state::afterOutage() const {
-  return !Link.reachable() ||
-         (Link.backAt() != time_point{} &&
-          event_loop::now() - Link.backAt() < OutageMemory);
+/// Until when replicas that are not listed may register again; nothing when no
+/// outage has ended.
+std::optional<time_point> gateway::state::mayReturnUntil() const {
+  if (Link.backAt() == time_point{})
+    return std::nullopt;
+  return Link.backAt() + ReturnTime;
 }
 
 std::optional<replica>
@@ -240,7 +253,7 @@
                 for (const stored_object &Object : All)
                   if (auto Replica = readReplica(Object))
                     Replicas.push_back(std::move(*Replica));
-                Directory.replaceAll(Replicas, afterOutage(),
+                Directory.replaceAll(Replicas, mayReturnUntil(),
                                      event_loop::now());
               },
           .OnChange =
@@ -251,10 +264,11 @@
                 if (Replica)
                   Directory.update(*Replica, Now);
                 else
-                  Directory.remove(Object.Name, afterOutage(), Now);
+                  Directory.remove(Object.Name, mayReturnUntil(), Now);
                 for (const auto &[Name, Pool] : Pools)
                   Pool->replicasChanged();
-              }}));
+              },
+          .Pace = ReplicaPace}));
   ReplicaWatcher = Watchers.back().get();
   ReplicaWatcher->start();
 }
--- a/store/object_link.cpp
+++ b/store/object_link.cpp
@@ -1,5 +1,6 @@
 #include "store/object_link.h"
 
+#include "base/metrics.h"
 #include "http/event_loop.h"
 
 namespace cardamom {
@@ -24,6 +25,26 @@
   return "unknown";
 }
 
+std::string_view toString(object_op Op) {
+  switch (Op) {
+  case object_op::List:
+    return "list";
+  case object_op::Get:
+    return "get";
+  case object_op::Create:
+    return "create";
+  case object_op::Replace:
+    return "replace";
+  case object_op::ReplaceStatus:
+    return "replace_status";
+  case object_op::Remove:
+    return "remove";
+  case object_op::Watch:
+    break;
+  }
+  return "watch";
+}
+
 static bool isAnswer(object_outcome Outcome) {
   return Outcome != object_outcome::Refused &&
          Outcome != object_outcome::Unknown;
@@ -36,6 +57,10 @@
 
 void object_link::call(const object_request &Request, object_callback Done) {
   ++Calls;
+  metrics::get()
+      .counter("store_calls_total", "call",
+               std::string(toString(Request.Op)) + ' ' + Request.Kind)
+      .add();
   Options.Send(Request, [this, Weak = std::weak_ptr<bool>(Alive),
                          Done = std::move(Done)](const object_reply &Reply) {
     if (Weak.expired())
--- a/store/object_link.h
+++ b/store/object_link.h
@@ -39,6 +39,8 @@
   Watch,
 };
 
+std::string_view toString(object_op Op);
+
 struct object_request {
   object_op Op = object_op::Get;
   std::string Kind;
--- a/store/object_watcher.cpp
+++ b/store/object_watcher.cpp
@@ -33,8 +33,9 @@
   };
 }
 
-void object_watcher::later(void (object_watcher::*Next)()) {
-  Retry = Loop.after(Options.RetryDelay, [this, Next] {
+void object_watcher::later(milliseconds Pause,
+                           void (object_watcher::*Next)()) {
+  Retry = Loop.after(Pause, [this, Next] {
     Link.whenReachable([this, Weak = std::weak_ptr<bool>(Alive), Next] {
       if (!Weak.expired())
         (this->*Next)();
@@ -55,7 +56,7 @@
 
 void object_watcher::onPage(const object_reply &Reply) {
   if (Reply.Outcome != object_outcome::Done) {
-    later(&object_watcher::list);
+    later(Options.RetryDelay, &object_watcher::list);
     return;
   }
   // Changes between two pages are seen again by a watch from the first page's
@@ -73,7 +74,11 @@
   Listed.clear();
   const std::weak_ptr<bool> Weak = Alive;
   Options.OnSnapshot(All);
-  if (!Weak.expired())
+  if (Weak.expired())
+    return;
+  if (Options.Pace.count() > 0)
+    later(Options.Pace, &object_watcher::watch);
+  else
     watch();
 }
 
@@ -94,7 +99,7 @@
     return;
   }
   if (Reply.Outcome != object_outcome::Done) {
-    later(&object_watcher::watch);
+    later(Options.RetryDelay, &object_watcher::watch);
     return;
   }
   const std::weak_ptr<bool> Weak = Alive;
@@ -107,7 +112,9 @@
   // A store that answers without waiting must not be called in a loop.
   if (Reply.Objects.empty() &&
       event_loop::now() - WatchSentAt < Options.RetryDelay)
-    later(&object_watcher::watch);
+    later(Options.RetryDelay, &object_watcher::watch);
+  else if (!Reply.Objects.empty() && Options.Pace.count() > 0)
+    later(Options.Pace, &object_watcher::watch);
   else
     watch();
 }
--- a/store/object_watcher.h
+++ b/store/object_watcher.h
@@ -30,6 +30,10 @@
   std::function<void(const stored_object &)> OnChange;
   /// How long a watch waits at the store; each watch is a priced call.
   milliseconds Wait{25000};
+  /// Pause after a change, so that those that follow soon cost one call
+  /// together. The first after a quiet time comes at once; any other up to
+  /// this much late.
+  milliseconds Pace{0};
   /// Pause before a watch that was cut is asked again.
   milliseconds RetryDelay{100};
 };
@@ -57,7 +61,7 @@
   void watch();
   void onWatch(const object_reply &Reply);
   /// Runs Next once the store answers, after a pause.
-  void later(void (object_watcher::*Next)());
+  void later(milliseconds Pause, void (object_watcher::*Next)());
   object_callback guarded(void (object_watcher::*Handler)(const object_reply &));
 
   event_loop &Loop;
