--- a/base/base64.cpp
+++ b/base/base64.cpp
@@ -10,10 +10,9 @@
   if (Text.size() % CharsPerBlock != 0)
     return std::nullopt;
   std::string Out(Text.size() / CharsPerBlock * BytesPerBlock, '\0');
-  const int Length =
-      EVP_DecodeBlock(reinterpret_cast<unsigned char *>(Out.data()),
-                      reinterpret_cast<const unsigned char *>(Text.data()),
-                      int(Text.size()));
+  const int Length = EVP_DecodeBlock(
+      reinterpret_cast<unsigned char *>(Out.data()),
+      reinterpret_cast<const unsigned char *>(Text.data()), int(Text.size()));
   if (Length < 0)
     return std::nullopt;
   size_t Padding = 0;
--- a/gateway/plain_caller.cpp
+++ b/gateway/plain_caller.cpp
@@ -113,10 +113,9 @@
   case call_step::Wait:
     break;
   }
-  const auto Delay =
-      std::chrono::ceil<milliseconds>(Plan.wakeAt() - Now);
-  Timer = Options.Loop.after(std::max(Delay, milliseconds(1)),
-                             [this] { step(); });
+  const auto Delay = std::chrono::ceil<milliseconds>(Plan.wakeAt() - Now);
+  Timer =
+      Options.Loop.after(std::max(Delay, milliseconds(1)), [this] { step(); });
 }
 
 void plain_run::send(time_point Now) {
@@ -149,11 +148,10 @@
       Replica->Address, Options.Protocol.Encode(Call),
       {.OnHead = [this, &Attempt](
                      const http_response &Head) { onHead(Attempt, Head); },
-       .OnBody = [this, &Attempt](
-                     std::string_view Data) { onBody(Attempt, Data); },
-       .OnEnd = [this, &Attempt](const call_end &End) {
-         onEnd(Attempt, End);
-       }});
+       .OnBody = [this,
+                  &Attempt](std::string_view Data) { onBody(Attempt, Data); },
+       .OnEnd = [this,
+                 &Attempt](const call_end &End) { onEnd(Attempt, End); }});
   step();
 }
 
@@ -306,8 +304,8 @@
 
 plain_run_ptr plain_caller::start(plain_request Request,
                                   std::function<void(plain_answer)> Done) {
-  auto Run = std::make_shared<plain_run>(Options, std::move(Request),
-                                         std::move(Done));
+  auto Run =
+      std::make_shared<plain_run>(Options, std::move(Request), std::move(Done));
   Run->step();
   return Run;
 }
--- a/gateway/replica_directory.cpp
+++ b/gateway/replica_directory.cpp
@@ -66,8 +66,7 @@
   const auto It = Entries.find(Id);
   if (It == Entries.end())
     return;
-  if (MayReturnUntil && Now < *MayReturnUntil &&
-      !It->second.Replica.Draining) {
+  if (MayReturnUntil && Now < *MayReturnUntil && !It->second.Replica.Draining) {
     if (!It->second.MissingUntil) {
       It->second.MissingUntil = MayReturnUntil;
       log("replica_missing", It->second.Replica, "store was lost");
@@ -93,8 +92,8 @@
   return It == Entries.end() ? nullptr : &It->second.Replica;
 }
 
-std::vector<const replica *>
-replica_directory::usable(std::string_view Service, time_point Now) const {
+std::vector<const replica *> replica_directory::usable(std::string_view Service,
+                                                       time_point Now) const {
   std::vector<const replica *> Good;
   std::vector<const replica *> Avoided;
   for (const auto &[Id, Entry] : Entries) {
@@ -122,8 +121,7 @@
   ++Entry.Failures;
   if (Entry.Failures < Options.AvoidAfter)
     return;
-  const unsigned Doublings =
-      std::min(Entry.Failures - Options.AvoidAfter, 10U);
+  const unsigned Doublings = std::min(Entry.Failures - Options.AvoidAfter, 10U);
   const milliseconds Pause =
       std::min(Options.AvoidMin * (1U << Doublings), Options.AvoidMax);
   Entry.AvoidUntil = Now + Pause;
--- a/gateway/route_table.cpp
+++ b/gateway/route_table.cpp
@@ -28,8 +28,7 @@
     if (Slash == std::string_view::npos)
       return nullptr;
     Prefix = Prefix.substr(0, Slash + 1);
-    if (const auto It = OfHost->second.find(Prefix);
-        It != OfHost->second.end())
+    if (const auto It = OfHost->second.find(Prefix); It != OfHost->second.end())
       return &It->second;
     Prefix.remove_suffix(1);
   }
--- a/http/http_client.cpp
+++ b/http/http_client.cpp
@@ -4,13 +4,13 @@
 #include "http/event_loop.h"
 #include "http/socket_options.h"
 
+#include <algorithm>
 #include <boost/asio/buffer.hpp>
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/write.hpp>
 #include <boost/beast/core/flat_buffer.hpp>
 #include <boost/beast/http/parser.hpp>
 #include <boost/beast/http/string_body.hpp>
-#include <algorithm>
 #include <map>
 #include <optional>
 #include <vector>
@@ -279,9 +279,8 @@
     return false;
   if (!HeadDelivered) {
     HeadDelivered = true;
-    http_response Head{.Status = Parser->get().result_int(),
-                       .Headers = {},
-                       .Body = {}};
+    http_response Head{
+        .Status = Parser->get().result_int(), .Headers = {}, .Body = {}};
     for (const auto &Field : Parser->get())
       Head.Headers.add(std::string_view(Field.name_string()),
                        std::string_view(Field.value()));
@@ -415,10 +414,10 @@
   return Call;
 }
 
-call_handle http_client::fetch(
-    const std::string &Address, const http_request &Request,
-    milliseconds Timeout,
-    std::function<void(const call_end &, http_response)> OnEnd) {
+call_handle
+http_client::fetch(const std::string &Address, const http_request &Request,
+                   milliseconds Timeout,
+                   std::function<void(const call_end &, http_response)> OnEnd) {
   call_handle Call = send(Address, Request, {});
   const std::weak_ptr<client_call_state> Weak = Call;
   Call->Hooks.OnHead = [Weak](const http_response &Head) {
--- a/http/http_client.h
+++ b/http/http_client.h
@@ -81,8 +81,7 @@
   /// they are, with Content-Length added. No hook is called before send()
   /// returns.
   [[nodiscard]] call_handle send(const std::string &Address,
-                                 const http_request &Request,
-                                 call_hooks Hooks);
+                                 const http_request &Request, call_hooks Hooks);
   /// Like send(), collects the body, and ends with NoAnswer after Timeout.
   [[nodiscard]] call_handle
   fetch(const std::string &Address, const http_request &Request,
--- /dev/null
+++ b/http/http_engine_test.cpp
@@ -0,0 +1,380 @@
+#include "http/event_loop.h"
+#include "http/http_client.h"
+#include "http/http_server.h"
+
+#include <arpa/inet.h>
+#include <cppunit/extensions/HelperMacros.h>
+#include <functional>
+#include <netinet/in.h>
+#include <optional>
+#include <string>
+#include <sys/socket.h>
+#include <thread>
+#include <unistd.h>
+#include <vector>
+
+namespace cardamom {
+
+namespace {
+
+/// A peer that works with plain blocking sockets on a thread of its own.
+class raw_server {
+public:
+  explicit raw_server(std::function<void(int Connection)> Serve) {
+    Listener = ::socket(AF_INET, SOCK_STREAM, 0);
+    sockaddr_in Address{};
+    Address.sin_family = AF_INET;
+    Address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+    ::bind(Listener, reinterpret_cast<sockaddr *>(&Address), sizeof Address);
+    ::listen(Listener, 8);
+    socklen_t Length = sizeof Address;
+    ::getsockname(Listener, reinterpret_cast<sockaddr *>(&Address), &Length);
+    Port = ntohs(Address.sin_port);
+    Thread = std::thread([this, Serve = std::move(Serve)] {
+      while (true) {
+        const int Connection = ::accept(Listener, nullptr, nullptr);
+        if (Connection < 0)
+          return;
+        Serve(Connection);
+        ::close(Connection);
+      }
+    });
+  }
+  ~raw_server() {
+    ::shutdown(Listener, SHUT_RDWR);
+    Thread.join();
+    ::close(Listener);
+  }
+  [[nodiscard]] std::string address() const {
+    return "127.0.0.1:" + std::to_string(Port);
+  }
+
+private:
+  int Listener;
+  uint16_t Port = 0;
+  std::thread Thread;
+};
+
+void readRequest(int Connection) {
+  std::string Text;
+  char Buffer[4096];
+  while (Text.find("\r\n\r\n") == std::string::npos) {
+    const ssize_t Count = ::recv(Connection, Buffer, sizeof Buffer, 0);
+    if (Count <= 0)
+      return;
+    Text.append(Buffer, size_t(Count));
+  }
+}
+
+void sendText(int Connection, const std::string &Text) {
+  ::send(Connection, Text.data(), Text.size(), MSG_NOSIGNAL);
+}
+
+/// A port that was free a moment ago.
+std::string freeAddress() {
+  const int Socket = ::socket(AF_INET, SOCK_STREAM, 0);
+  sockaddr_in Address{};
+  Address.sin_family = AF_INET;
+  Address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+  ::bind(Socket, reinterpret_cast<sockaddr *>(&Address), sizeof Address);
+  socklen_t Length = sizeof Address;
+  ::getsockname(Socket, reinterpret_cast<sockaddr *>(&Address), &Length);
+  ::close(Socket);
+  return "127.0.0.1:" + std::to_string(ntohs(Address.sin_port));
+}
+
+int connectTo(const std::string &Address) {
+  const int Socket = ::socket(AF_INET, SOCK_STREAM, 0);
+  sockaddr_in Target{};
+  Target.sin_family = AF_INET;
+  Target.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+  Target.sin_port =
+      htons(uint16_t(std::stoi(Address.substr(Address.find(':') + 1))));
+  ::connect(Socket, reinterpret_cast<sockaddr *>(&Target), sizeof Target);
+  return Socket;
+}
+
+std::string readAll(int Socket) {
+  std::string Text;
+  char Buffer[4096];
+  ssize_t Count = 0;
+  while ((Count = ::recv(Socket, Buffer, sizeof Buffer, 0)) > 0)
+    Text.append(Buffer, size_t(Count));
+  return Text;
+}
+
+} // namespace
+
+class http_engine_test : public CppUnit::TestFixture {
+  CPPUNIT_TEST_SUITE(http_engine_test);
+  CPPUNIT_TEST(keepsConnection);
+  CPPUNIT_TEST(truncatedAnswerIsNotComplete);
+  CPPUNIT_TEST(answerWithoutLengthEndsWithConnection);
+  CPPUNIT_TEST(strayBytesAreNoAnswer);
+  CPPUNIT_TEST(abandonedCallClosesConnection);
+  CPPUNIT_TEST(reportsCallerThatLeaves);
+  CPPUNIT_TEST(refusesWhatExceedsLimits);
+  CPPUNIT_TEST(streamThatBreaksOffDoesNotLookComplete);
+  CPPUNIT_TEST(readsChunkedAndPipelinedRequests);
+  CPPUNIT_TEST(drainEndsKeptConnections);
+  CPPUNIT_TEST_SUITE_END();
+
+  struct outcome {
+    call_result Result;
+    http_response Response;
+    bool Reused;
+  };
+
+  static void runFor(event_loop &Loop, milliseconds Limit) {
+    const timer_handle Timer = Loop.after(Limit, [&] { Loop.stop(); });
+    Loop.run();
+  }
+
+  static std::vector<outcome> fetchTimes(const std::string &Address,
+                                         int Times) {
+    event_loop Loop;
+    http_client Client(Loop, {});
+    std::vector<outcome> Outcomes;
+    call_handle Call;
+    timer_handle Pause;
+    std::function<void()> Next = [&] {
+      Call = Client.fetch(
+          Address, {.Method = "GET", .Target = "/", .Headers = {{"Host", "h"}}},
+          milliseconds(2000), [&](const call_end &End, http_response Response) {
+            Outcomes.push_back({End.Result, std::move(Response), End.Reused});
+            if (int(Outcomes.size()) == Times)
+              Loop.stop();
+            else
+              Pause = Loop.after(milliseconds(50), [&] { Next(); });
+          });
+    };
+    Next();
+    runFor(Loop, milliseconds(5000));
+    return Outcomes;
+  }
+
+  /// Runs Server's loop while Caller works on another thread.
+  static void serve(const std::function<void(exchange_ptr)> &OnRequest,
+                    const http_server_limits &Limits,
+                    const std::function<void(const std::string &)> &Caller) {
+    event_loop Loop;
+    const std::string Address = freeAddress();
+    http_server Server(
+        Loop, {.Listen = Address, .Limits = Limits, .OnRequest = OnRequest});
+    std::thread Thread([&] {
+      Caller(Address);
+      Loop.post([&] { Loop.stop(); });
+    });
+    runFor(Loop, milliseconds(10000));
+    Thread.join();
+  }
+
+public:
+  void keepsConnection() {
+    event_loop Loop;
+    const std::string Address = freeAddress();
+    http_server Server(
+        Loop,
+        {.Listen = Address, .OnRequest = [](const exchange_ptr &Exchange) {
+           Exchange->answer({.Status = 200, .Body = "hello"});
+         }});
+    http_client Client(Loop, {});
+    std::vector<bool> Reused;
+    call_handle Call;
+    std::function<void()> Next = [&] {
+      Call = Client.fetch(
+          Address, {.Method = "GET", .Target = "/", .Headers = {}, .Body = {}},
+          milliseconds(1000), [&](const call_end &End, http_response Answer) {
+            CPPUNIT_ASSERT_EQUAL(std::string("hello"), Answer.Body);
+            Reused.push_back(End.Reused);
+            if (Reused.size() == 3)
+              Loop.stop();
+            else
+              Loop.post([&] { Next(); });
+          });
+    };
+    Next();
+    runFor(Loop, milliseconds(3000));
+    CPPUNIT_ASSERT(Reused == std::vector<bool>({false, true, true}));
+    CPPUNIT_ASSERT_EQUAL(size_t(1), Client.connectionsOpened());
+  }
+
+  // Guards against half an answer that is passed on as a whole one.
+  void truncatedAnswerIsNotComplete() {
+    const raw_server Server([](int Connection) {
+      readRequest(Connection);
+      sendText(Connection, "HTTP/1.1 200 OK\r\nContent-Length: 10\r\n\r\nhalf");
+    });
+    const auto Outcomes = fetchTimes(Server.address(), 1);
+    CPPUNIT_ASSERT(Outcomes.at(0).Result == call_result::BrokenAnswer);
+  }
+
+  void answerWithoutLengthEndsWithConnection() {
+    const raw_server Server([](int Connection) {
+      readRequest(Connection);
+      sendText(Connection, "HTTP/1.1 200 OK\r\n\r\nwhole");
+    });
+    const auto Outcomes = fetchTimes(Server.address(), 1);
+    CPPUNIT_ASSERT(Outcomes.at(0).Result == call_result::Complete);
+    CPPUNIT_ASSERT_EQUAL(std::string("whole"), Outcomes.at(0).Response.Body);
+  }
+
+  // Guards against a second answer that is taken for that of the next request.
+  void strayBytesAreNoAnswer() {
+    const raw_server Server([](int Connection) {
+      readRequest(Connection);
+      const std::string Answer =
+          "HTTP/1.1 200 OK\r\nContent-Length: 1\r\n\r\n1";
+      sendText(Connection, Answer);
+      std::this_thread::sleep_for(milliseconds(10));
+      sendText(Connection, Answer);
+      readRequest(Connection);
+    });
+    const auto Outcomes = fetchTimes(Server.address(), 2);
+    CPPUNIT_ASSERT_EQUAL(size_t(2), Outcomes.size());
+    CPPUNIT_ASSERT(Outcomes.at(1).Result == call_result::Complete);
+    CPPUNIT_ASSERT(!Outcomes.at(1).Reused);
+  }
+
+  // Guards against an upstream that works on for a caller who has left.
+  void abandonedCallClosesConnection() {
+    std::optional<bool> Closed;
+    {
+      const raw_server Server([&](int Connection) {
+        readRequest(Connection);
+        char Byte = 0;
+        Closed = ::recv(Connection, &Byte, 1, 0) <= 0;
+      });
+      event_loop Loop;
+      http_client Client(Loop, {});
+      call_handle Call = Client.send(
+          Server.address(),
+          {.Method = "GET", .Target = "/", .Headers = {}, .Body = {}}, {});
+      const timer_handle Drop =
+          Loop.after(milliseconds(100), [&] { Call.reset(); });
+      runFor(Loop, milliseconds(300));
+    }
+    CPPUNIT_ASSERT(Closed.value_or(false));
+  }
+
+  void reportsCallerThatLeaves() {
+    bool Gone = false;
+    exchange_ptr Kept;
+    serve(
+        [&](const exchange_ptr &Exchange) {
+          Kept = Exchange;
+          Exchange->OnCallerGone = [&] {
+            Gone = true;
+            Kept.reset();
+          };
+        },
+        {},
+        [](const std::string &Address) {
+          const int Socket = connectTo(Address);
+          sendText(Socket, "GET / HTTP/1.1\r\nHost: h\r\n\r\n");
+          std::this_thread::sleep_for(milliseconds(100));
+          ::close(Socket);
+          std::this_thread::sleep_for(milliseconds(200));
+        });
+    CPPUNIT_ASSERT(Gone);
+  }
+
+  void refusesWhatExceedsLimits() {
+    std::string BigHeader;
+    std::string BigBody;
+    std::string Slow;
+    serve(
+        [](const exchange_ptr &Exchange) { Exchange->answer({.Status = 200}); },
+        {.HeaderBytes = 500,
+         .BodyBytes = 100,
+         .HeaderTimeout = milliseconds(200),
+         .IdleTimeout = milliseconds(1000)},
+        [&](const std::string &Address) {
+          int Socket = connectTo(Address);
+          sendText(Socket, "GET / HTTP/1.1\r\nX: " + std::string(1000, 'x') +
+                               "\r\n\r\n");
+          BigHeader = readAll(Socket);
+          ::close(Socket);
+          Socket = connectTo(Address);
+          sendText(Socket, "POST / HTTP/1.1\r\nContent-Length: 101\r\n\r\n");
+          BigBody = readAll(Socket);
+          ::close(Socket);
+          Socket = connectTo(Address);
+          sendText(Socket, "GET / HT");
+          Slow = readAll(Socket);
+          ::close(Socket);
+        });
+    CPPUNIT_ASSERT(BigHeader.starts_with("HTTP/1.1 431 "));
+    CPPUNIT_ASSERT(BigBody.starts_with("HTTP/1.1 413 "));
+    CPPUNIT_ASSERT(Slow.starts_with("HTTP/1.1 408 "));
+  }
+
+  void streamThatBreaksOffDoesNotLookComplete() {
+    std::string Text;
+    serve(
+        [](const exchange_ptr &Exchange) {
+          Exchange->startStream({.Status = 200});
+          Exchange->writeStream("part");
+          Exchange->abort();
+        },
+        {},
+        [&](const std::string &Address) {
+          const int Socket = connectTo(Address);
+          sendText(Socket, "GET / HTTP/1.1\r\nHost: h\r\n\r\n");
+          Text = readAll(Socket);
+          ::close(Socket);
+        });
+    CPPUNIT_ASSERT(Text.find("0\r\n\r\n") == std::string::npos);
+  }
+
+  void readsChunkedAndPipelinedRequests() {
+    std::string Text;
+    serve(
+        [](const exchange_ptr &Exchange) {
+          Exchange->answer(
+              {.Status = 200,
+               .Body = Exchange->request().Target + Exchange->request().Body});
+        },
+        {},
+        [&](const std::string &Address) {
+          const int Socket = connectTo(Address);
+          sendText(Socket,
+                   "POST /a HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n"
+                   "3\r\nxyz\r\n0\r\n\r\n"
+                   "GET /b HTTP/1.1\r\nConnection: close\r\n\r\n");
+          Text = readAll(Socket);
+          ::close(Socket);
+        });
+    const size_t First = Text.find("/axyz");
+    CPPUNIT_ASSERT(First != std::string::npos);
+    CPPUNIT_ASSERT(Text.find("/b", First) != std::string::npos);
+  }
+
+  // Guards against a shutdown that waits for connections nobody uses.
+  void drainEndsKeptConnections() {
+    event_loop Loop;
+    const std::string Address = freeAddress();
+    http_server Server(Loop, {.Listen = Address,
+                              .OnRequest = [](const exchange_ptr &Exchange) {
+                                Exchange->answer({.Status = 200});
+                              }});
+    std::string Text;
+    std::thread Caller([&] {
+      const int Socket = connectTo(Address);
+      sendText(Socket, "GET / HTTP/1.1\r\nHost: h\r\n\r\n");
+      Text = readAll(Socket);
+      ::close(Socket);
+      Loop.post([&] { Loop.stop(); });
+    });
+    const timer_handle Drain =
+        Loop.after(milliseconds(200), [&] { Server.drain(milliseconds(50)); });
+    runFor(Loop, milliseconds(5000));
+    Caller.join();
+    CPPUNIT_ASSERT(Text.starts_with("HTTP/1.1 200 "));
+    CPPUNIT_ASSERT_EQUAL(size_t(0), Server.connections());
+  }
+};
+
+CPPUNIT_TEST_SUITE_NAMED_REGISTRATION(http_engine_test, "http_engine_test");
+
+} // namespace cardamom
--- a/http/http_server.cpp
+++ b/http/http_server.cpp
@@ -78,9 +78,8 @@
   }
 
 private:
-  using parser =
-      beast::http::request_parser<beast::http::string_body,
-                                  std::allocator<char>>;
+  using parser = beast::http::request_parser<beast::http::string_body,
+                                             std::allocator<char>>;
 
   void beginRequest();
   void read();
@@ -122,17 +121,16 @@
 }
 
 void server_connection_state::armIdleTimer() {
-  const milliseconds Idle = Server->CloseIdleAfter.value_or(
-      Server->Options.Limits.IdleTimeout);
+  const milliseconds Idle =
+      Server->CloseIdleAfter.value_or(Server->Options.Limits.IdleTimeout);
   if (Idle.count() == 0 && !Server->CloseIdleAfter) {
     Timer.reset();
     return;
   }
-  Timer = Server->Loop.after(
-      Idle, [Weak = weak_from_this()] {
-        if (const auto Self = Weak.lock())
-          Self->close();
-      });
+  Timer = Server->Loop.after(Idle, [Weak = weak_from_this()] {
+    if (const auto Self = Weak.lock())
+      Self->close();
+  });
 }
 
 void server_connection_state::closeWhenIdle(milliseconds IdleFor) {
@@ -223,8 +221,7 @@
   Server->Options.OnRequest(Created);
 }
 
-void server_connection_state::refuse(unsigned Status,
-                                     std::string_view Reason) {
+void server_connection_state::refuse(unsigned Status, std::string_view Reason) {
   KeepAlive = false;
   CloseAfterWrite = true;
   std::string Body(Reason);
@@ -423,8 +420,7 @@
       });
       return;
     }
-    std::make_shared<server_connection_state>(Self, std::move(Socket))
-        ->start();
+    std::make_shared<server_connection_state>(Self, std::move(Socket))->start();
     Self->accept();
   });
 }
--- a/jobs/event_parser.h
+++ b/jobs/event_parser.h
@@ -36,9 +36,7 @@
 
   void feed(std::string_view Bytes);
   /// Whether no part of an event is waiting for its end.
-  [[nodiscard]] bool atBoundary() const {
-    return Line.empty() && !HasFields;
-  }
+  [[nodiscard]] bool atBoundary() const { return Line.empty() && !HasFields; }
 
 private:
   void onLine();
--- a/jobs/item_run.cpp
+++ b/jobs/item_run.cpp
@@ -83,8 +83,7 @@
   }
   if (!Version)
     return end(item_run_outcome::Broken, "event without a weight version");
-  if (!Event.Number ||
-      (Text.LastEvent && *Event.Number != *Text.LastEvent + 1))
+  if (!Event.Number || (Text.LastEvent && *Event.Number != *Text.LastEvent + 1))
     return end(item_run_outcome::Broken, "event out of order");
   const bool OtherVersion =
       !Text.Versions.empty() && !Text.Versions.contains(*Version);
--- a/jobs/job_archive.cpp
+++ b/jobs/job_archive.cpp
@@ -67,15 +67,14 @@
 
 void job_archive::read(const job_call &Call,
                        std::function<void(archive_reply)> Done) {
-  find(Call.JobId,
-       [this, After = Call.After, Done = std::move(Done)](
-           archive_status Status, const entry_ptr &Entry) {
-         if (Status != archive_status::Found) {
-           Done({.Status = Status, .Body = {}});
-           return;
-         }
-         fetchResults(Entry, After, Done);
-       });
+  find(Call.JobId, [this, After = Call.After, Done = std::move(Done)](
+                       archive_status Status, const entry_ptr &Entry) {
+    if (Status != archive_status::Found) {
+      Done({.Status = Status, .Body = {}});
+      return;
+    }
+    fetchResults(Entry, After, Done);
+  });
 }
 
 void job_archive::fetchResults(const entry_ptr &Entry, uint64_t After,
--- a/jobs/job_desk.cpp
+++ b/jobs/job_desk.cpp
@@ -139,8 +139,7 @@
   http_request Request = Visit->Exchange->request();
   Request.Target = std::string(InnerForwardPrefix) + Request.Target;
   Request.Headers.removeConnectionHeaders();
-  logState("job_call_forwarded",
-           {{"job", Visit->JobId}, {"to", Address}});
+  logState("job_call_forwarded", {{"job", Visit->JobId}, {"to", Address}});
   metrics::get().counter("job_calls_forwarded_total").add();
   fetch(Address, Request, Visit->Call.Wait + Options.ForwardTimeout,
         [this, Visit, Reason = std::string(Reason)](const call_end &End,
@@ -265,8 +264,7 @@
   }
 }
 
-void job_desk::answerArchive(const visit_ptr &Visit,
-                             const archive_reply &Reply,
+void job_desk::answerArchive(const visit_ptr &Visit, const archive_reply &Reply,
                              std::string_view ContentType) {
   switch (Reply.Status) {
   case archive_status::Found:
@@ -313,8 +311,7 @@
   const job_call &Call = Visit->Call;
   const http_request Question{
       .Method = "GET",
-      .Target = std::string(InnerResultsPath) +
-                "?pool=" + percentEncode(Pool) +
+      .Target = std::string(InnerResultsPath) + "?pool=" + percentEncode(Pool) +
                 "&job=" + percentEncode(Call.JobId) +
                 "&after=" + std::to_string(Call.After) +
                 "&wait_ms=" + std::to_string(Call.Wait.count()),
@@ -350,10 +347,9 @@
        Visit](const object_reply &Reply) {
         if (Weak.expired())
           return;
-        logState("job_end",
-                 {{"job", Visit->JobId},
-                  {"outcome", std::string(toString(Reply.Outcome))},
-                  {"detail", Reply.Detail}});
+        logState("job_end", {{"job", Visit->JobId},
+                             {"outcome", std::string(toString(Reply.Outcome))},
+                             {"detail", Reply.Detail}});
         if (Reply.Outcome == object_outcome::Done) {
           answer(Visit->Exchange, StatusOk, "{}", Json);
           notifyEnd(Visit->JobId, Visit->Pools);
--- a/jobs/job_scheduler.cpp
+++ b/jobs/job_scheduler.cpp
@@ -183,8 +183,7 @@
       [this, Guard = guard(), Job](const object_reply &Reply) {
         Guard([&] {
           if (Reply.Outcome == object_outcome::Done && !Reply.Objects.empty()) {
-            onListed(Job,
-                     result_log::decodeBatch(Reply.Objects.front().Spec));
+            onListed(Job, result_log::decodeBatch(Reply.Objects.front().Spec));
             loadResults(Job);
             return;
           }
@@ -292,8 +291,8 @@
     if (!SeenGroups.contains(Group))
       Order.emplace_back(Tokens, Group);
   std::sort(Order.rbegin(), Order.rend());
-  const size_t Spare = std::min(
-      Order.size(), Longest.size() - std::min(Longest.size(), Wanted));
+  const size_t Spare =
+      std::min(Order.size(), Longest.size() - std::min(Longest.size(), Wanted));
   std::set<std::string> SpareGroups;
   for (size_t I = 0; I < Spare; ++I)
     SpareGroups.insert(Order[I].second);
@@ -319,8 +318,8 @@
   const double Done = double(Item.Text.Events) * tokensPerEvent();
   // Lengths have a heavy tail: what has outrun its estimate goes on for some
   // while.
-  return std::max({expectedTokens(Item) - Done, Done * OverrunShare,
-                   tokensPerEvent()});
+  return std::max(
+      {expectedTokens(Item) - Done, Done * OverrunShare, tokensPerEvent()});
 }
 
 uint64_t job_scheduler::exactVersion(const item_state &Item) {
@@ -377,15 +376,14 @@
         continue;
       }
       restartIfVersionGone(*Item);
-      Waiting.push_back(
-          {.Index = Candidates.size(),
-           .Model = Job->Job.Model,
-           .MinVersion = Job->Job.MinVersion,
-           .RemainingTokens = remainingTokens(*Item),
-           .Spare = Item->Spare,
-           .DueAt = Job->DueAt,
-           .ExactVersion = exactVersion(*Item),
-           .Avoid = Item->LastReplica});
+      Waiting.push_back({.Index = Candidates.size(),
+                         .Model = Job->Job.Model,
+                         .MinVersion = Job->Job.MinVersion,
+                         .RemainingTokens = remainingTokens(*Item),
+                         .Spare = Item->Spare,
+                         .DueAt = Job->DueAt,
+                         .ExactVersion = exactVersion(*Item),
+                         .Avoid = Item->LastReplica});
       Candidates.push_back(Item.get());
     }
   }
@@ -467,12 +465,10 @@
               {"from", Item.Run->replicaId()},
               {"to", Replicas[Move.Replica]->Id},
               {"events", std::to_string(Item.Text.Events)},
-              {"ms_per_token_from",
-               std::to_string(
-                   Placement.msPerToken(Item.Run->replicaId(), Now))},
-              {"ms_per_token_to",
-               std::to_string(
-                   Placement.msPerToken(Replicas[Move.Replica]->Id, Now))}});
+              {"ms_per_token_from", std::to_string(Placement.msPerToken(
+                                        Item.Run->replicaId(), Now))},
+              {"ms_per_token_to", std::to_string(Placement.msPerToken(
+                                      Replicas[Move.Replica]->Id, Now))}});
     metrics::get().counter("items_moved_total").add();
     stopRun(Item);
     startItem(Item, *Replicas[Move.Replica]);
@@ -514,14 +510,14 @@
           [this, ReplicaId](const load_report &Load) {
             Options.Directory.onLoad(ReplicaId, Load, event_loop::now());
           }};
-  logState("item_started",
-           {{"job", Job.Id},
-            {"item", Item.Item->Id},
-            {"replica", ReplicaId},
-            {"running", std::to_string(runningOn(ReplicaId))},
-            {"resume", Item.Text.LastEvent
-                           ? std::to_string(*Item.Text.LastEvent)
-                           : "none"}});
+  logState(
+      "item_started",
+      {{"job", Job.Id},
+       {"item", Item.Item->Id},
+       {"replica", ReplicaId},
+       {"running", std::to_string(runningOn(ReplicaId))},
+       {"resume",
+        Item.Text.LastEvent ? std::to_string(*Item.Text.LastEvent) : "none"}});
   Item.Phase = item_phase::Running;
   Item.SeenEvents = 0;
   if (Item.FirstStartedAt == time_point{})
@@ -572,21 +568,20 @@
       .counter("item_runs_total", "outcome", toString(End.Outcome))
       .add();
   if (End.Outcome != item_run_outcome::Complete)
-    logState("item_run_ended",
-             {{"job", Item.Job->Job.Id},
-              {"item", Item.Item->Id},
-              {"replica", ReplicaId},
-              {"outcome", std::string(toString(End.Outcome))},
-              {"detail", End.Detail},
-              {"events", std::to_string(Item.Text.Events)}});
+    logState("item_run_ended", {{"job", Item.Job->Job.Id},
+                                {"item", Item.Item->Id},
+                                {"replica", ReplicaId},
+                                {"outcome", std::string(toString(End.Outcome))},
+                                {"detail", End.Detail},
+                                {"events", std::to_string(Item.Text.Events)}});
   Item.Phase = item_phase::Waiting;
   Item.LastReplica = ReplicaId;
   switch (End.Outcome) {
   case item_run_outcome::Complete:
     Options.Directory.onCallSucceeded(ReplicaId);
     Item.TextComplete = true;
-    MeanTokens += MeanGain *
-                  (double(Item.Text.Events) * tokensPerEvent() - MeanTokens);
+    MeanTokens +=
+        MeanGain * (double(Item.Text.Events) * tokensPerEvent() - MeanTokens);
     score(Item);
     break;
   case item_run_outcome::Refused:
@@ -636,8 +631,7 @@
     // The configuration may bring the route back until the item expires.
     logState("scoring_route_missing",
              {{"item", Item.Item->Id}, {"host", Scoring.Host}});
-    Item.Retry =
-        later(MissingRoutePause, [this, &Item] { score(Item); });
+    Item.Retry = later(MissingRoutePause, [this, &Item] { score(Item); });
     return;
   }
   const time_point Now = event_loop::now();
@@ -671,11 +665,10 @@
     complete(Item, Answer.Head.Signature);
     return;
   }
-  logState("scoring_failed",
-           {{"item", Item.Item->Id},
-            {"request", Item.Item->Scoring->RequestId},
-            {"status", std::to_string(Answer.Head.Status)},
-            {"reason", Answer.Verdict.Reason}});
+  logState("scoring_failed", {{"item", Item.Item->Id},
+                              {"request", Item.Item->Scoring->RequestId},
+                              {"status", std::to_string(Answer.Head.Status)},
+                              {"reason", Answer.Verdict.Reason}});
   const route *Route =
       Options.FindRoute(Item.Item->Scoring->Host, Item.Item->Scoring->Path);
   const unsigned MaxFailures = Route ? Route->MaxAttempts : 1;
@@ -687,12 +680,12 @@
 }
 
 void job_scheduler::complete(item_state &Item, std::string Signature) {
-  item_result Result{.ItemId = Item.Item->Id,
-                     .Completed = true,
-                     .Text = std::move(Item.Text.Text),
-                     .Versions = {Item.Text.Versions.begin(),
-                                  Item.Text.Versions.end()},
-                     .Score = std::move(Signature)};
+  item_result Result{
+      .ItemId = Item.Item->Id,
+      .Completed = true,
+      .Text = std::move(Item.Text.Text),
+      .Versions = {Item.Text.Versions.begin(), Item.Text.Versions.end()},
+      .Score = std::move(Signature)};
   queueResult(Item, std::move(Result));
 }
 
@@ -759,8 +752,7 @@
         onListed(Job, std::move(Batch));
         return;
       }
-      if (Reply.Outcome == object_outcome::Conflict &&
-          !Reply.Objects.empty()) {
+      if (Reply.Outcome == object_outcome::Conflict && !Reply.Objects.empty()) {
         // Either an earlier try of this write was done and its answer lost,
         // or another scheduler has written this batch.
         Job->Writing = false;
@@ -774,18 +766,18 @@
                {{"job", Job->Job.Id},
                 {"outcome", std::string(toString(Reply.Outcome))},
                 {"detail", Reply.Detail}});
-      Job->FlushTimer = later(
-          FailurePause,
-          [this, Job, Batch = std::move(Batch), WriteId]() mutable {
-            Options.Link.whenReachable([this, Guard = guard(), Job,
-                                        Batch = std::move(Batch),
-                                        WriteId]() mutable {
-              Guard([&] {
-                Job->FlushTimer.reset();
-                write(Job, std::move(Batch), WriteId);
-              });
-            });
-          });
+      Job->FlushTimer =
+          later(FailurePause,
+                [this, Job, Batch = std::move(Batch), WriteId]() mutable {
+                  Options.Link.whenReachable([this, Guard = guard(), Job,
+                                              Batch = std::move(Batch),
+                                              WriteId]() mutable {
+                    Guard([&] {
+                      Job->FlushTimer.reset();
+                      write(Job, std::move(Batch), WriteId);
+                    });
+                  });
+                });
     });
   });
 }
@@ -800,8 +792,8 @@
              {{"job", Job->Job.Id},
               {"results", std::to_string(Count)},
               {"listed", std::to_string(Job->Log.listed().size())},
-              {"age_ms", std::to_string(Options.UnixNow() -
-                                        Job->Job.SubmittedAtMs)}});
+              {"age_ms",
+               std::to_string(Options.UnixNow() - Job->Job.SubmittedAtMs)}});
   serveReaders(*Job);
   if (Job->Log.queued() > 0)
     flushSoon(Job);
@@ -810,8 +802,7 @@
 /// Items that another scheduler has listed need no run of ours.
 void job_scheduler::dropListedItems(job_state &Job) {
   for (const auto &Item : Job.Items) {
-    if (Item->Phase == item_phase::Done ||
-        !Job.Log.isListed(Item->Item->Id))
+    if (Item->Phase == item_phase::Done || !Job.Log.isListed(Item->Item->Id))
       continue;
     stopRun(*Item);
     Item->Scoring.reset();
@@ -835,11 +826,10 @@
     Item->Retry.reset();
     Item->Phase = item_phase::Done;
   }
-  logState("job_ended",
-           {{"job", Job->Job.Id},
-            {"listed", std::to_string(Job->Log.listed().size())},
-            {"items", std::to_string(Job->Items.size())},
-            {"stopped_runs", std::to_string(Stopped)}});
+  logState("job_ended", {{"job", Job->Job.Id},
+                         {"listed", std::to_string(Job->Log.listed().size())},
+                         {"items", std::to_string(Job->Items.size())},
+                         {"stopped_runs", std::to_string(Stopped)}});
   serveReaders(*Job);
   scheduleSoon();
 }
@@ -858,15 +848,14 @@
   Job->Readers.push_back(Reader);
   // A reader whose time is over gets the page as it is then.
   const std::weak_ptr<reader> Weak = Reader;
-  Reader->Timer = later(
-      std::max(Call.Wait, milliseconds(Job->Loaded ? 0 : 1)),
-      [this, Job, Weak] {
-        const auto Self = Weak.lock();
-        if (!Self)
-          return;
-        std::erase(Job->Readers, Self);
-        Self->Done(Job->Loaded, page(*Job, Self->After));
-      });
+  Reader->Timer = later(std::max(Call.Wait, milliseconds(Job->Loaded ? 0 : 1)),
+                        [this, Job, Weak] {
+                          const auto Self = Weak.lock();
+                          if (!Self)
+                            return;
+                          std::erase(Job->Readers, Self);
+                          Self->Done(Job->Loaded, page(*Job, Self->After));
+                        });
   serveReaders(*Job);
 }
 
--- a/jobs/pool_role.cpp
+++ b/jobs/pool_role.cpp
@@ -141,9 +141,9 @@
   // After an outage of the whole store the holder may not know yet that it is
   // over.
   const object_link &Link = Options.Scheduler.Link;
-  const bool AfterOutage = !Link.reachable() ||
-                           event_loop::now() - Link.backAt() <
-                               Options.OutageGrace;
+  const bool AfterOutage =
+      !Link.reachable() ||
+      event_loop::now() - Link.backAt() < Options.OutageGrace;
   if (Answered && Status == StatusUnavailable && AfterOutage &&
       Link.backAt() != time_point{})
     return;
@@ -154,11 +154,10 @@
   if (AskFailed < Options.AskFailures)
     return;
   if (!HolderDown)
-    logState("holder_down",
-             {{"pool", pool()},
-              {"holder", Lease.record().Holder},
-              {"status", std::to_string(Status)},
-              {"detail", End.Detail}});
+    logState("holder_down", {{"pool", pool()},
+                             {"holder", Lease.record().Holder},
+                             {"status", std::to_string(Status)},
+                             {"detail", End.Detail}});
   HolderDown = true;
   // Another process may have taken over already.
   reread();
@@ -168,11 +167,10 @@
   if (AcquireTimer || Writing || Released)
     return;
   const double Wait = Options.Random() * double(Options.AcquireSpread.count());
-  AcquireTimer =
-      Options.Scheduler.Loop.after(milliseconds(long(Wait)), [this] {
-        AcquireTimer.reset();
-        acquire();
-      });
+  AcquireTimer = Options.Scheduler.Loop.after(milliseconds(long(Wait)), [this] {
+    AcquireTimer.reset();
+    acquire();
+  });
 }
 
 void pool_role::acquire() {
@@ -202,27 +200,27 @@
   if (Record.Revision != 0)
     Request.Revision = Record.Revision;
   const time_point SentAt = event_loop::now();
-  Options.Scheduler.Link.call(
-      Request, [this, Weak = std::weak_ptr<bool>(Alive), Record, Renewal,
-                SentAt](const object_reply &Reply) {
-        if (Weak.expired())
-          return;
-        Writing = false;
-        if (Reply.Outcome == object_outcome::Done && !Reply.Objects.empty()) {
-          const std::string Predecessor = Lease.record().Address;
-          pool_lease_record Written = Record;
-          Written.Revision = Reply.Objects.front().Revision;
-          Lease.onWritten(Written, SentAt, event_loop::now());
-          if (!Renewal)
-            becomeScheduler(Predecessor);
-          return;
-        }
-        logState("lease_write_failed",
-                 {{"pool", pool()},
-                  {"outcome", std::string(toString(Reply.Outcome))},
-                  {"detail", Reply.Detail}});
-        reread();
-      });
+  Options.Scheduler.Link.call(Request, [this, Weak = std::weak_ptr<bool>(Alive),
+                                        Record, Renewal,
+                                        SentAt](const object_reply &Reply) {
+    if (Weak.expired())
+      return;
+    Writing = false;
+    if (Reply.Outcome == object_outcome::Done && !Reply.Objects.empty()) {
+      const std::string Predecessor = Lease.record().Address;
+      pool_lease_record Written = Record;
+      Written.Revision = Reply.Objects.front().Revision;
+      Lease.onWritten(Written, SentAt, event_loop::now());
+      if (!Renewal)
+        becomeScheduler(Predecessor);
+      return;
+    }
+    logState("lease_write_failed",
+             {{"pool", pool()},
+              {"outcome", std::string(toString(Reply.Outcome))},
+              {"detail", Reply.Detail}});
+    reread();
+  });
 }
 
 /// Reads the lease back: the write may have been done although its answer was
@@ -241,8 +239,7 @@
           if (Weak.expired())
             return;
           Rereading = false;
-          if (Reply.Outcome == object_outcome::Done &&
-              !Reply.Objects.empty()) {
+          if (Reply.Outcome == object_outcome::Done && !Reply.Objects.empty()) {
             const std::string Predecessor = Lease.record().Address;
             const bool Held = Lease.holds();
             observe(Reply.Objects.front());
@@ -265,8 +262,7 @@
   AskFailed = 0;
   HolderDown = false;
   logState("scheduler_started",
-           {{"pool", pool()},
-            {"token", std::to_string(Lease.record().Token)}});
+           {{"pool", pool()}, {"token", std::to_string(Lease.record().Token)}});
   metrics::get().counter("scheduler_starts_total").add();
   job_scheduler_options SchedulerOptions = Options.Scheduler;
   SchedulerOptions.ChangingWeights = [this](std::string_view Replica,
@@ -304,12 +300,11 @@
 }
 
 void pool_role::askForHandover(const std::string &Address) {
-  const http_request Question{
-      .Method = "POST",
-      .Target =
-          std::string(InnerHandoverPath) + "?pool=" + percentEncode(pool()),
-      .Headers = {{"Host", Address}},
-      .Body = encodeLease(Lease.record()).dump()};
+  const http_request Question{.Method = "POST",
+                              .Target = std::string(InnerHandoverPath) +
+                                        "?pool=" + percentEncode(pool()),
+                              .Headers = {{"Host", Address}},
+                              .Body = encodeLease(Lease.record()).dump()};
   HandoverCall = Options.Scheduler.Client.fetch(
       Address, Question, Options.HandoverTimeout,
       [this](const call_end &End, const http_response &Response) {
@@ -383,14 +378,14 @@
 }
 
 void pool_role::sendCheckpoint() {
-  CheckpointTimer = Options.Scheduler.Loop.after(
-      Options.CheckpointInterval, [this] { sendCheckpoint(); });
+  CheckpointTimer = Options.Scheduler.Loop.after(Options.CheckpointInterval,
+                                                 [this] { sendCheckpoint(); });
   const std::vector<std::string> StandBys = Options.StandBys(pool());
   if (!Scheduler || StandBys.empty())
     return;
   const json Progress = Scheduler->exportProgress(Options.CheckpointMinAge);
-  std::string Document = Progress.dump(-1, ' ', false,
-                                       json::error_handler_t::replace);
+  std::string Document =
+      Progress.dump(-1, ' ', false, json::error_handler_t::replace);
   if (Document == Checkpoint)
     return;
   Checkpoint = Document;
@@ -413,12 +408,10 @@
   Object.Revision = SuccessorLease.value("revision", uint64_t(0));
   if (Object.Revision <= Lease.record().Revision)
     throw std::invalid_argument("the lease is not newer");
-  json Progress =
-      Scheduler ? Scheduler->exportProgress() : json::object();
-  logState("handover_given",
-           {{"pool", pool()},
-            {"to", SuccessorLease.value("holder", "")},
-            {"items", std::to_string(Progress.size())}});
+  json Progress = Scheduler ? Scheduler->exportProgress() : json::object();
+  logState("handover_given", {{"pool", pool()},
+                              {"to", SuccessorLease.value("holder", "")},
+                              {"items", std::to_string(Progress.size())}});
   observe(Object);
   stepDown("handed over");
   return Progress;
@@ -429,17 +422,16 @@
   sendCheckpoint();
   JobWatcher = std::make_unique<object_watcher>(
       Options.Scheduler.Loop, Options.Scheduler.Link,
-      object_watcher_options{
-          .Kind = Options.JobKind,
-          .OnSnapshot =
-              [this](std::span<const stored_object> All) {
-                for (const stored_object &Object : All)
-                  onJob(Object, /*Listed=*/true);
-              },
-          .OnChange =
-              [this](const stored_object &Object) {
-                onJob(Object, /*Listed=*/false);
-              }});
+      object_watcher_options{.Kind = Options.JobKind,
+                             .OnSnapshot =
+                                 [this](std::span<const stored_object> All) {
+                                   for (const stored_object &Object : All)
+                                     onJob(Object, /*Listed=*/true);
+                                 },
+                             .OnChange =
+                                 [this](const stored_object &Object) {
+                                   onJob(Object, /*Listed=*/false);
+                                 }});
   JobWatcher->start();
   const auto OnVersion = [this](const stored_object &Object) {
     if (Object.Removed)
@@ -493,10 +485,9 @@
       return;
     // A job that was accepted after the lease was taken can have results of
     // this scheduler only, or of one that is about to find out.
-    const bool MayHaveResults =
-        Listed || Object.Revision <= AcquiredAtRevision;
-    Scheduler->addJob(
-        decodeStoredJob(Object, Options.Scheduler.Protocols), MayHaveResults);
+    const bool MayHaveResults = Listed || Object.Revision <= AcquiredAtRevision;
+    Scheduler->addJob(decodeStoredJob(Object, Options.Scheduler.Protocols),
+                      MayHaveResults);
   } catch (const std::invalid_argument &Error) {
     logFault("job_unreadable",
              {{"job", Object.Name}, {"reason", Error.what()}});
--- a/jobs/result_log_promise_test.cpp
+++ b/jobs/result_log_promise_test.cpp
@@ -57,8 +57,7 @@
             continue;
           Pending[W] = std::to_string(W) + "-" + std::to_string(Step);
         }
-        const std::string Name =
-            result_log::batchName("job", Log.batches());
+        const std::string Name = result_log::batchName("job", Log.batches());
         const nlohmann::json Value =
             result_log::encodeBatch(Batch[W], Pending[W]);
         switch (Random() % 4) {
@@ -81,8 +80,8 @@
       }
       result_log Reader("job");
       for (size_t I = 0; Store.contains(result_log::batchName("job", I)); ++I)
-        Reader.append(result_log::decodeBatch(
-            Store.at(result_log::batchName("job", I))));
+        Reader.append(
+            result_log::decodeBatch(Store.at(result_log::batchName("job", I))));
       CPPUNIT_ASSERT_EQUAL(size_t(Items), Reader.listed().size());
       for (const result_log &Log : Logs)
         for (size_t I = 0; I < Log.listed().size(); ++I) {
--- a/jobs/result_page.cpp
+++ b/jobs/result_page.cpp
@@ -16,9 +16,10 @@
       break;
     ++Last;
   }
-  return Protocols.EncodeResults({.Total = Total,
-                                  .Next = std::max<uint64_t>(After, Last),
-                                  .Results = Listed.subspan(First, Last - First)});
+  return Protocols.EncodeResults(
+      {.Total = Total,
+       .Next = std::max<uint64_t>(After, Last),
+       .Results = Listed.subspan(First, Last - First)});
 }
 
 } // namespace cardamom
--- a/jobs/weight_driver.cpp
+++ b/jobs/weight_driver.cpp
@@ -133,10 +133,9 @@
              {{"replica", ReplicaId},
               {"model", Change->Wanted.Model},
               {"version", std::to_string(Version->second)},
-              {"ms", std::to_string(
-                         std::chrono::duration_cast<milliseconds>(
-                             event_loop::now() - Change->StartedAt)
-                             .count())}});
+              {"ms", std::to_string(std::chrono::duration_cast<milliseconds>(
+                                        event_loop::now() - Change->StartedAt)
+                                        .count())}});
     finish(ReplicaId);
     Options.OnChanged();
     return;
@@ -168,12 +167,12 @@
     return;
   }
   const replica_order Order{.Model = Change->Wanted.Model,
-                           .Version = Change->Wanted.Version,
-                           .FinishRunsFirst = false,
-                           .Holder = Options.Holder,
-                           .FencingToken = Options.FencingToken,
-                           .ExpectedOrders = Report.OrdersAccepted,
-                           .ReplicaId = ReplicaId};
+                            .Version = Change->Wanted.Version,
+                            .FinishRunsFirst = false,
+                            .Holder = Options.Holder,
+                            .FencingToken = Options.FencingToken,
+                            .ExpectedOrders = Report.OrdersAccepted,
+                            .ReplicaId = ReplicaId};
   Change->Ordered = true;
   Change->OrderedAt = event_loop::now();
   metrics::get().counter("weight_orders_total").add();
@@ -218,9 +217,8 @@
   case order_outcome::Conflict:
   case order_outcome::WrongReplica:
   case order_outcome::Invalid:
-    logState("order_refused",
-             {{"replica", ReplicaId},
-              {"outcome", std::to_string(int(Outcome))}});
+    logState("order_refused", {{"replica", ReplicaId},
+                               {"outcome", std::to_string(int(Outcome))}});
     NotBefore[ReplicaId] = event_loop::now() + FailurePause;
     finish(ReplicaId);
     return;
--- a/policy/item_placement.cpp
+++ b/policy/item_placement.cpp
@@ -128,8 +128,8 @@
           Here - Item.RemainingTokens * msPerToken(Replicas[I].Id, Now);
       if (Gain > Here * Options.MoveShare &&
           Gain > double(Options.MoveGain.count()))
-        Candidates.push_back({.GainMs = Gain,
-                              .Placed = {.Index = Item.Index, .Replica = I}});
+        Candidates.push_back(
+            {.GainMs = Gain, .Placed = {.Index = Item.Index, .Replica = I}});
     }
   }
   std::sort(Candidates.begin(), Candidates.end(),
--- a/policy/item_placement_test.cpp
+++ b/policy/item_placement_test.cpp
@@ -1,7 +1,7 @@
 #include "policy/item_placement.h"
 
-#include <cppunit/extensions/HelperMacros.h>
 #include <algorithm>
+#include <cppunit/extensions/HelperMacros.h>
 #include <numeric>
 #include <random>
 
@@ -22,10 +22,8 @@
 
   static replica_capacity replica(std::string_view Id, unsigned Free,
                                   uint64_t Version = 1) {
-    return {.Id = Id,
-            .FreeSlots = Free,
-            .Slots = 8,
-            .Versions = {{"m", Version}}};
+    return {
+        .Id = Id, .FreeSlots = Free, .Slots = 8, .Versions = {{"m", Version}}};
   }
   static waiting_item item(size_t Index, double Tokens) {
     return {.Index = Index, .Model = "m", .RemainingTokens = Tokens};
@@ -108,7 +106,7 @@
   // Plays a step of 44 items with a heavy tail on 8 replicas whose speeds
   // differ, against round robin in the same run.
   void endsStepSoonerThanRoundRobin() {
-    const std::vector<double> Speeds = {0.45, 0.45, 1.1, 0.45,
+    const std::vector<double> Speeds = {0.45, 0.45, 1.1,  0.45,
                                         0.45, 1.1,  0.45, 0.45};
     const std::vector<std::string> Ids = {"0", "1", "2", "3",
                                           "4", "5", "6", "7"};
@@ -120,8 +118,8 @@
       item_placement Placement({});
       std::vector<replica_capacity> Replicas;
       for (size_t R = 0; R < Ids.size(); ++R) {
-        Placement.onProgress(Ids[R], 1000,
-                             milliseconds(int(1000 * Speeds[R])), Now);
+        Placement.onProgress(Ids[R], 1000, milliseconds(int(1000 * Speeds[R])),
+                             Now);
         Replicas.push_back(replica(Ids[R], 8));
       }
       std::vector<waiting_item> Items;
--- a/policy/lease.cpp
+++ b/policy/lease.cpp
@@ -59,5 +59,4 @@
   return holds() && Now + Options.Length / 2 >= ValidUntil;
 }
 
-
 } // namespace cardamom
--- a/policy/weight_plan.cpp
+++ b/policy/weight_plan.cpp
@@ -17,9 +17,8 @@
 };
 } // namespace
 
-std::vector<std::string>
-assignModels(std::span<const weight_replica> Replicas,
-             std::span<const std::string> Models) {
+std::vector<std::string> assignModels(std::span<const weight_replica> Replicas,
+                                      std::span<const std::string> Models) {
   struct preference {
     uint64_t Score;
     size_t Replica;
--- a/policy/weight_plan.h
+++ b/policy/weight_plan.h
@@ -53,9 +53,8 @@
 
 /// The model whose versions each replica follows; equal shares, and few changes
 /// when a replica comes or goes. Models must not be empty.
-std::vector<std::string>
-assignModels(std::span<const weight_replica> Replicas,
-             std::span<const std::string> Models);
+std::vector<std::string> assignModels(std::span<const weight_replica> Replicas,
+                                      std::span<const std::string> Models);
 
 std::vector<weight_change> planWeightChanges(const weight_plan_input &Input);
 
--- a/policy/weight_plan_test.cpp
+++ b/policy/weight_plan_test.cpp
@@ -34,8 +34,7 @@
     auto Replicas = replicas(9, 3);
     Replicas[4].Versions["m0"] = 1;
     const named Named = {{"m0", 4}};
-    const auto Plan =
-        planWeightChanges({.Replicas = Replicas, .Named = Named});
+    const auto Plan = planWeightChanges({.Replicas = Replicas, .Named = Named});
     CPPUNIT_ASSERT_EQUAL(size_t(3), Plan.size());
     CPPUNIT_ASSERT_EQUAL(size_t(4), Plan[0].Replica);
     CPPUNIT_ASSERT_EQUAL(uint64_t(4), Plan[0].Version);
@@ -54,10 +53,10 @@
     const auto Replicas = replicas(8, 1);
     const std::vector<std::string> Models = {"m0", "m1"};
     const auto Assigned = assignModels(Replicas, Models);
-    CPPUNIT_ASSERT_EQUAL(
-        std::ptrdiff_t(4), std::count(Assigned.begin(), Assigned.end(), "m0"));
-    CPPUNIT_ASSERT_EQUAL(
-        std::ptrdiff_t(4), std::count(Assigned.begin(), Assigned.end(), "m1"));
+    CPPUNIT_ASSERT_EQUAL(std::ptrdiff_t(4),
+                         std::count(Assigned.begin(), Assigned.end(), "m0"));
+    CPPUNIT_ASSERT_EQUAL(std::ptrdiff_t(4),
+                         std::count(Assigned.begin(), Assigned.end(), "m1"));
   }
 
   void changesFewSharesWhenReplicaGoes() {
--- a/scripts/test.sh
+++ b/scripts/test.sh
@@ -17,6 +17,9 @@
 echo "== formatter"
 scripts/check-format.sh
 
+echo "== names of the platform"
+scripts/check-platform-names.sh
+
 echo "== build"
 configure build
 cmake --build build -j "$jobs" | tail -n 1
--- a/server/caller_front.cpp
+++ b/server/caller_front.cpp
@@ -88,8 +88,7 @@
   return Route.Services.back().Service;
 }
 
-bool caller_front::handleJobCall(const exchange_ptr &Exchange,
-                                 bool Forwarded) {
+bool caller_front::handleJobCall(const exchange_ptr &Exchange, bool Forwarded) {
   const auto Call = Options.Protocols.DecodeJobCall(Exchange->request());
   if (!Call)
     return false;
--- a/server/gateway.cpp
+++ b/server/gateway.cpp
@@ -202,15 +202,14 @@
                            std::function<void(const stored_object &)> Each) {
   Watchers.push_back(std::make_unique<object_watcher>(
       Loop, Link,
-      object_watcher_options{
-          .Kind = std::move(Kind),
-          .OnSnapshot =
-              [Each](std::span<const stored_object> All) {
-                for (const stored_object &Object : All)
-                  Each(Object);
-              },
-          .OnChange = Each,
-          .Pace = Pace}));
+      object_watcher_options{.Kind = std::move(Kind),
+                             .OnSnapshot =
+                                 [Each](std::span<const stored_object> All) {
+                                   for (const stored_object &Object : All)
+                                     Each(Object);
+                                 },
+                             .OnChange = Each,
+                             .Pace = Pace}));
   Watchers.back()->start();
 }
 
@@ -299,8 +298,8 @@
     if (Reply.Outcome == object_outcome::Conflict) {
       object_request Change = Request;
       Change.Op = object_op::Replace;
-      const bool Same = !Reply.Objects.empty() &&
-                        Reply.Objects.front().Spec == Request.Value;
+      const bool Same =
+          !Reply.Objects.empty() && Reply.Objects.front().Spec == Request.Value;
       if (!Same)
         Link.call(Change, [](const object_reply & /*Reply*/) {});
       return;
@@ -327,8 +326,7 @@
 }
 
 /// Inner addresses of the other gateways, best first by rendezvous hashing.
-std::vector<std::string>
-gateway::state::standBys(const std::string &Pool) {
+std::vector<std::string> gateway::state::standBys(const std::string &Pool) {
   std::vector<std::pair<uint64_t, std::string>> Ranked;
   for (const auto &[Name, Address] : Gateways)
     if (Address != Options.InnerListen && !Address.empty())
@@ -352,38 +350,35 @@
   }
 }
 
-std::unique_ptr<pool_role>
-gateway::state::makePool(const std::string &Name) {
+std::unique_ptr<pool_role> gateway::state::makePool(const std::string &Name) {
   return std::make_unique<pool_role>(pool_role_options{
-      .Scheduler =
-          {.Loop = Loop,
-           .Client = Client,
-           .Directory = Directory,
-           .Caller = Caller,
-           .Link = Link,
-           .Protocols = Options.Protocols,
-           .FindRoute =
-               [this](std::string_view Host, std::string_view Path) {
-                 return Front.findRoute(Host, Path);
-               },
-           .FindService = [this, Name]() -> const service * {
-             const auto It = Front.config().Services.find(Name);
-             return It == Front.config().Services.end() ? nullptr
-                                                        : &It->second;
-           },
-           .Pool = Name,
-           .FailureDomain = Options.FailureDomain,
-           .ResultKind = std::string(ResultKind),
-           .UnixNow = unixNowMs,
-           .NewId = [this] { return newId(); }},
+      .Scheduler = {.Loop = Loop,
+                    .Client = Client,
+                    .Directory = Directory,
+                    .Caller = Caller,
+                    .Link = Link,
+                    .Protocols = Options.Protocols,
+                    .FindRoute =
+                        [this](std::string_view Host, std::string_view Path) {
+                          return Front.findRoute(Host, Path);
+                        },
+                    .FindService = [this, Name]() -> const service * {
+                      const auto It = Front.config().Services.find(Name);
+                      return It == Front.config().Services.end() ? nullptr
+                                                                 : &It->second;
+                    },
+                    .Pool = Name,
+                    .FailureDomain = Options.FailureDomain,
+                    .ResultKind = std::string(ResultKind),
+                    .UnixNow = unixNowMs,
+                    .NewId = [this] { return newId(); }},
       .Self = Options.Name,
       .Incarnation = Incarnation,
       .InnerAddress = Options.InnerListen,
       .LeaseLength = Options.LeaseLength,
       .LeaseKind = std::string(LeaseKind),
       .JobKind = std::string(JobKind),
-      .StandBys =
-          [this](const std::string &Pool) { return standBys(Pool); },
+      .StandBys = [this](const std::string &Pool) { return standBys(Pool); },
       .Random = [this] { return random(); }});
 }
 
@@ -399,8 +394,8 @@
   const nlohmann::json Wanted = Options.Protocols.RetirementStatus(true);
   if (Object.Removed || Object.Status == Wanted)
     return;
-  const auto Pause = milliseconds(
-      long(random() * double(RetirementSpread.count())));
+  const auto Pause =
+      milliseconds(long(random() * double(RetirementSpread.count())));
   RetirementTimers[Object.Name] =
       Loop.after(Pause, [this, Name = Object.Name, Wanted] {
         logState("retirement_answered", {{"vm", Name}});
@@ -484,12 +479,12 @@
   Call.After = strtoull(queryParameter(Target, "after").c_str(), nullptr, 10);
   Call.Wait = milliseconds(
       strtoull(queryParameter(Target, "wait_ms").c_str(), nullptr, 10));
-  Role->scheduler()->read(Call, [Exchange](bool Known,
-                                           const std::string &Page) {
-    Exchange->answer({.Status = Known ? 200U : 404U,
-                      .Headers = {{"Content-Type", "application/json"}},
-                      .Body = Page});
-  });
+  Role->scheduler()->read(
+      Call, [Exchange](bool Known, const std::string &Page) {
+        Exchange->answer({.Status = Known ? 200U : 404U,
+                          .Headers = {{"Content-Type", "application/json"}},
+                          .Body = Page});
+      });
 }
 
 void gateway::state::innerCheckpoint(const exchange_ptr &Exchange,
@@ -513,11 +508,11 @@
       throw std::invalid_argument("unknown pool");
     const nlohmann::json Lease = nlohmann::json::parse(
         Exchange->request().Body, nullptr, /*allow_exceptions=*/false);
-    Exchange->answer({.Status = 200,
-                      .Headers = {{"Content-Type", "application/json"}},
-                      .Body = Role->handOver(Lease).dump(
-                          -1, ' ', false,
-                          nlohmann::json::error_handler_t::replace)});
+    Exchange->answer(
+        {.Status = 200,
+         .Headers = {{"Content-Type", "application/json"}},
+         .Body = Role->handOver(Lease).dump(
+             -1, ' ', false, nlohmann::json::error_handler_t::replace)});
   } catch (const std::invalid_argument &Error) {
     logState("handover_refused", {{"reason", Error.what()}});
     Exchange->answer({.Status = 409, .Headers = {}, .Body = Error.what()});
@@ -529,8 +524,8 @@
     return;
   Stopping = true;
   StoppedAt = event_loop::now();
-  logState("stopping", {{"in_flight",
-                         std::to_string(CallerServer->requestsInFlight())}});
+  logState("stopping",
+           {{"in_flight", std::to_string(CallerServer->requestsInFlight())}});
   for (const auto &[Name, Pool] : Pools)
     Pool->release();
   checkStopped();
@@ -542,12 +537,12 @@
     Draining = true;
     CallerServer->drain(DrainIdleTime);
   }
-  const bool Idle = CallerServer->requestsInFlight() == 0 &&
-                    CallerServer->connections() == 0;
+  const bool Idle =
+      CallerServer->requestsInFlight() == 0 && CallerServer->connections() == 0;
   const bool Done = Elapsed >= Options.DrainNotice && Idle;
   if (Done || Elapsed >= Options.StopTimeout) {
-    logState("stopped", {{"in_flight", std::to_string(
-                                           CallerServer->requestsInFlight())}});
+    logState("stopped",
+             {{"in_flight", std::to_string(CallerServer->requestsInFlight())}});
     Loop.stop();
     return;
   }
--- a/store/object_watcher.cpp
+++ b/store/object_watcher.cpp
@@ -33,8 +33,7 @@
   };
 }
 
-void object_watcher::later(milliseconds Pause,
-                           void (object_watcher::*Next)()) {
+void object_watcher::later(milliseconds Pause, void (object_watcher::*Next)()) {
   Retry = Loop.after(Pause, [this, Next] {
     Link.whenReachable([this, Weak = std::weak_ptr<bool>(Alive), Next] {
       if (!Weak.expired())
--- a/store/object_watcher.h
+++ b/store/object_watcher.h
@@ -62,7 +62,8 @@
   void onWatch(const object_reply &Reply);
   /// Runs Next once the store answers, after a pause.
   void later(milliseconds Pause, void (object_watcher::*Next)());
-  object_callback guarded(void (object_watcher::*Handler)(const object_reply &));
+  object_callback
+  guarded(void (object_watcher::*Handler)(const object_reply &));
 
   event_loop &Loop;
   object_link &Link;
