Relay streams to callers and resume them at another replica

A route of streams is served by events as they arrive, whole ones only; a resumable stream that breaks off goes on after its last event at another replica, any other ends so that it looks incomplete.

--- a/jobs/event_parser.cpp
+++ b/gateway/event_parser.cpp
@@ -1,4 +1,4 @@
-#include "jobs/event_parser.h"
+#include "gateway/event_parser.h"
 
 #include "base/identifier.h"
 
@@ -10,6 +10,8 @@
     Line += Bytes.substr(0, End);
     if (End == std::string_view::npos)
       return;
+    Event.Raw += Line;
+    Event.Raw += '\n';
     Bytes.remove_prefix(End + 1);
     if (!Line.empty() && Line.back() == '\r')
       Line.pop_back();
@@ -47,8 +49,10 @@
 }
 
 void event_parser::dispatch() {
-  if (!HasFields)
+  if (!HasFields) {
+    Event.Raw.clear();
     return;
+  }
   const stream_event Complete = std::move(Event);
   Event = {};
   HasData = false;
--- a/jobs/event_parser.h
+++ b/gateway/event_parser.h
@@ -8,8 +8,8 @@
 /// An event counts only once its closing blank line has been read; the rest of
 /// one that was cut is dropped with the parser. Linear in the input.
 
-#ifndef CARDAMOM_JOBS_EVENT_PARSER_H
-#define CARDAMOM_JOBS_EVENT_PARSER_H
+#ifndef CARDAMOM_GATEWAY_EVENT_PARSER_H
+#define CARDAMOM_GATEWAY_EVENT_PARSER_H
 
 #include <cstdint>
 #include <functional>
@@ -26,6 +26,8 @@
   std::string Data;
   /// Version of the weights from this event on, where it says so.
   std::optional<uint64_t> Version;
+  /// The event as it came, with its closing blank line.
+  std::string Raw;
 };
 
 class event_parser {
@@ -52,4 +54,4 @@
 
 } // namespace cardamom
 
-#endif // CARDAMOM_JOBS_EVENT_PARSER_H
+#endif // CARDAMOM_GATEWAY_EVENT_PARSER_H
--- a/jobs/event_parser_test.cpp
+++ b/gateway/event_parser_test.cpp
@@ -1,4 +1,4 @@
-#include "jobs/event_parser.h"
+#include "gateway/event_parser.h"
 
 #include <cppunit/extensions/HelperMacros.h>
 #include <random>
@@ -33,6 +33,7 @@
       CPPUNIT_ASSERT_EQUAL(size_t(3), Events.size());
       CPPUNIT_ASSERT_EQUAL(std::string("a b"), Events[0].Data);
       CPPUNIT_ASSERT(!Events[0].Version);
+      CPPUNIT_ASSERT_EQUAL(std::string("id: 1\ndata: a b\n\n"), Events[0].Raw);
       CPPUNIT_ASSERT_EQUAL(std::string("c\nd"), Events[1].Data);
       CPPUNIT_ASSERT_EQUAL(uint64_t(7), *Events[1].Version);
       CPPUNIT_ASSERT_EQUAL(uint64_t(3), *Events[2].Number);
--- a/gateway/plain_caller.cpp
+++ b/gateway/plain_caller.cpp
@@ -2,6 +2,7 @@
 
 #include "base/log.h"
 #include "base/metrics.h"
+#include "gateway/replica_choice.h"
 #include "gateway/replica_directory.h"
 #include "http/event_loop.h"
 #include "http/http_client.h"
@@ -69,34 +70,12 @@
   bool Finished = false;
 };
 
-static upstream_view viewOf(const replica &Replica,
-                            const replica_directory &Directory) {
-  upstream_view View{.Name = Replica.Id,
-                     .FailureDomain = Replica.FailureDomain,
-                     .Connected = true,
-                     .Slots = Replica.Slots};
-  if (const auto Load = Directory.load(Replica.Id)) {
-    View.Running = Load->Report.Running;
-    View.Queued = Load->Report.Waiting;
-    View.LoadAt = Load->At;
-  }
-  return View;
-}
-
 const replica *plain_run::pickReplica(time_point Now) {
-  std::vector<const replica *> Usable =
-      Options.Directory.usable(Request.Service, Now);
   std::vector<std::string> Tried;
   for (const attempt &Attempt : Attempts)
     Tried.push_back(Attempt.ReplicaId);
-  std::vector<upstream_view> Views;
-  Views.reserve(Usable.size());
-  for (const replica *Replica : Usable)
-    Views.push_back(viewOf(*Replica, Options.Directory));
-  const route_request Wanted{.Exclude = Tried,
-                             .OwnFailureDomain = Options.FailureDomain};
-  const auto Choice = Options.Router.pick(Wanted, Views, Now);
-  return Choice ? Usable[*Choice] : nullptr;
+  return chooseReplica(Options.Directory, Options.Router, Request.Service,
+                       Tried, Options.FailureDomain, Now);
 }
 
 void plain_run::step() {
--- a/gateway/route_table_test.cpp
+++ b/gateway/route_table_test.cpp
@@ -36,7 +36,7 @@
   // Checks the look-up by segments against a plain search over all routes.
   void agreesWithLinearSearch() {
     std::mt19937 Random(7);
-    const auto path = [&](bool Closed) {
+    const auto RandomPath = [&](bool Closed) {
       std::string Path = "/";
       for (unsigned I = 0, Count = Random() % 4; I < Count; ++I)
         Path += std::string(1, char('a' + Random() % 2)) + "/";
@@ -46,10 +46,11 @@
     };
     for (int Round = 0; Round < 200; ++Round) {
       std::vector<route> Routes;
+      Routes.reserve(6);
       for (int I = 0; I < 6; ++I)
-        Routes.push_back(make("h", path(true)));
+        Routes.push_back(make("h", RandomPath(true)));
       const route_table Table(Routes);
-      const std::string Path = path(false);
+      const std::string Path = RandomPath(false);
       std::optional<std::string> Expected;
       for (const route &Route : Routes)
         if (Path.starts_with(Route.PathPrefix) &&
--- a/http/http_client.cpp
+++ b/http/http_client.cpp
@@ -414,10 +414,10 @@
   return Call;
 }
 
-call_handle
-http_client::fetch(const std::string &Address, const http_request &Request,
-                   milliseconds Timeout,
-                   std::function<void(const call_end &, http_response)> OnEnd) {
+call_handle http_client::fetch(
+    const std::string &Address, const http_request &Request,
+    milliseconds Timeout,
+    const std::function<void(const call_end &, http_response)> &OnEnd) {
   call_handle Call = send(Address, Request, {});
   const std::weak_ptr<client_call_state> Weak = Call;
   Call->Hooks.OnHead = [Weak](const http_response &Head) {
--- a/http/http_client.h
+++ b/http/http_client.h
@@ -86,7 +86,7 @@
   [[nodiscard]] call_handle
   fetch(const std::string &Address, const http_request &Request,
         milliseconds Timeout,
-        std::function<void(const call_end &, http_response)> OnEnd);
+        const std::function<void(const call_end &, http_response)> &OnEnd);
   /// Closes the kept connections to Address.
   void forget(const std::string &Address);
   /// Connections opened so far.
--- a/http/http_engine_test.cpp
+++ b/http/http_engine_test.cpp
@@ -25,7 +25,8 @@
     sockaddr_in Address{};
     Address.sin_family = AF_INET;
     Address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
-    ::bind(Listener, reinterpret_cast<sockaddr *>(&Address), sizeof Address);
+    (void)::bind(Listener, reinterpret_cast<sockaddr *>(&Address),
+                 sizeof Address);
     ::listen(Listener, 8);
     socklen_t Length = sizeof Address;
     ::getsockname(Listener, reinterpret_cast<sockaddr *>(&Address), &Length);
@@ -76,7 +77,7 @@
   sockaddr_in Address{};
   Address.sin_family = AF_INET;
   Address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
-  ::bind(Socket, reinterpret_cast<sockaddr *>(&Address), sizeof Address);
+  (void)::bind(Socket, reinterpret_cast<sockaddr *>(&Address), sizeof Address);
   socklen_t Length = sizeof Address;
   ::getsockname(Socket, reinterpret_cast<sockaddr *>(&Address), &Length);
   ::close(Socket);
@@ -184,7 +185,8 @@
     std::function<void()> Next = [&] {
       Call = Client.fetch(
           Address, {.Method = "GET", .Target = "/", .Headers = {}, .Body = {}},
-          milliseconds(1000), [&](const call_end &End, http_response Answer) {
+          milliseconds(1000),
+          [&](const call_end &End, const http_response &Answer) {
             CPPUNIT_ASSERT_EQUAL(std::string("hello"), Answer.Body);
             Reused.push_back(End.Reused);
             if (Reused.size() == 3)
--- a/jobs/item_run.h
+++ b/jobs/item_run.h
@@ -12,9 +12,9 @@
 #ifndef CARDAMOM_JOBS_ITEM_RUN_H
 #define CARDAMOM_JOBS_ITEM_RUN_H
 
+#include "gateway/event_parser.h"
 #include "gateway/upstream_call.h"
 #include "http/http_client.h"
-#include "jobs/event_parser.h"
 
 #include <cstdint>
 #include <functional>
--- a/jobs/result_log_promise_test.cpp
+++ b/jobs/result_log_promise_test.cpp
@@ -34,7 +34,7 @@
       std::mt19937 Random(Seed);
       std::map<std::string, nlohmann::json> Store;
       std::vector<std::pair<std::string, nlohmann::json>> Late;
-      const auto create = [&](const std::string &Name,
+      const auto Create = [&](const std::string &Name,
                               const nlohmann::json &Value) {
         return Store.try_emplace(Name, Value).second;
       };
@@ -48,7 +48,7 @@
         if (Done[W] < Items && Random() % 3 == 0)
           Log.queue(result((Done[W]++ * 7 + int(W) * 3) % Items, int(W)));
         if (!Late.empty() && Random() % 5 == 0) {
-          create(Late.back().first, Late.back().second);
+          Create(Late.back().first, Late.back().second);
           Late.pop_back();
         }
         if (Pending[W].empty()) {
@@ -65,14 +65,14 @@
           continue;
         case 1: // done, or done late, without an answer
           if (Random() % 2 == 0)
-            create(Name, Value);
+            Create(Name, Value);
           else
             Late.emplace_back(Name, Value);
           continue;
         default:
           break;
         }
-        const bool Created = create(Name, Value);
+        const bool Created = Create(Name, Value);
         const nlohmann::json &There = Store.at(Name);
         CPPUNIT_ASSERT(!Created || There == Value);
         Log.append(result_log::decodeBatch(There));
--- /dev/null
+++ b/policy/stream_plan.cpp
@@ -0,0 +1,34 @@
+#include "policy/stream_plan.h"
+
+namespace cardamom {
+
+bool stream_plan::onEvent(std::optional<uint64_t> Number, time_point Now) {
+  if (Options.Resumable && !Number)
+    return false;
+  if (Number && LastEvent && *Number != *LastEvent + 1)
+    return false;
+  Started = true;
+  LastEvent = Number;
+  LastEventAt = Now;
+  return true;
+}
+
+stream_step stream_plan::onEnded(stream_end End, time_point Now) {
+  if (End == stream_end::Complete)
+    return stream_step::Finish;
+  MayHaveRun |= End != stream_end::NotRun;
+  const bool MayRepeat = Options.Resumable || !MayHaveRun;
+  // Once events flow, only pauses bound the stream.
+  const bool InTime = Started || Now < Options.FirstEventBy;
+  if (MayRepeat && InTime && Sent < Options.MaxAttempts)
+    return stream_step::Send;
+  return Started ? stream_step::Abort : stream_step::GiveUp;
+}
+
+time_point stream_plan::overdueAt() const {
+  return Started ? LastEventAt + Options.MaxPause : Options.FirstEventBy;
+}
+
+bool stream_plan::overdue(time_point Now) const { return Now >= overdueAt(); }
+
+} // namespace cardamom
--- /dev/null
+++ b/policy/stream_plan_test.cpp
@@ -0,0 +1,82 @@
+#include "policy/stream_plan.h"
+
+#include <cppunit/extensions/HelperMacros.h>
+
+namespace cardamom {
+
+class stream_plan_test : public CppUnit::TestFixture {
+  CPPUNIT_TEST_SUITE(stream_plan_test);
+  CPPUNIT_TEST(resumesAfterLastEvent);
+  CPPUNIT_TEST(abortsWhatMayNotBeRepeated);
+  CPPUNIT_TEST(repeatsWhatHasNotRun);
+  CPPUNIT_TEST(refusesEventsOutOfOrder);
+  CPPUNIT_TEST(findsSilentStream);
+  CPPUNIT_TEST_SUITE_END();
+
+  static time_point at(int Ms) { return time_point(milliseconds(Ms)); }
+  static stream_plan plan(bool Resumable) {
+    return stream_plan(
+        {.Resumable = Resumable, .MaxAttempts = 2, .FirstEventBy = at(1000)});
+  }
+
+public:
+  void resumesAfterLastEvent() {
+    stream_plan Plan = plan(true);
+    Plan.onSent();
+    CPPUNIT_ASSERT(Plan.onEvent(1, at(10)));
+    CPPUNIT_ASSERT(Plan.onEvent(2, at(20)));
+    CPPUNIT_ASSERT(Plan.onEnded(stream_end::Broken, at(1500)) ==
+                   stream_step::Send);
+    CPPUNIT_ASSERT_EQUAL(uint64_t(2), *Plan.lastEvent());
+    Plan.onSent();
+    CPPUNIT_ASSERT(Plan.onEvent(3, at(1600)));
+    CPPUNIT_ASSERT(Plan.onEnded(stream_end::Complete, at(1700)) ==
+                   stream_step::Finish);
+  }
+
+  // Guards against pieces of two runs in one answer.
+  void abortsWhatMayNotBeRepeated() {
+    stream_plan Plan = plan(false);
+    Plan.onSent();
+    Plan.onEvent(1, at(10));
+    CPPUNIT_ASSERT(Plan.onEnded(stream_end::Broken, at(20)) ==
+                   stream_step::Abort);
+    stream_plan Early = plan(false);
+    Early.onSent();
+    CPPUNIT_ASSERT(Early.onEnded(stream_end::Broken, at(20)) ==
+                   stream_step::GiveUp);
+    CPPUNIT_ASSERT(Early.certainty() == run_certainty::MayHaveRun);
+  }
+
+  void repeatsWhatHasNotRun() {
+    stream_plan Plan = plan(false);
+    Plan.onSent();
+    CPPUNIT_ASSERT(Plan.onEnded(stream_end::NotRun, at(20)) ==
+                   stream_step::Send);
+    Plan.onSent();
+    CPPUNIT_ASSERT(Plan.onEnded(stream_end::NotRun, at(30)) ==
+                   stream_step::GiveUp);
+    CPPUNIT_ASSERT(Plan.certainty() == run_certainty::NotRun);
+  }
+
+  void refusesEventsOutOfOrder() {
+    stream_plan Plan = plan(true);
+    CPPUNIT_ASSERT(Plan.onEvent(4, at(1)));
+    CPPUNIT_ASSERT(!Plan.onEvent(6, at(2)));
+    CPPUNIT_ASSERT(!Plan.onEvent(4, at(2)));
+    CPPUNIT_ASSERT(!Plan.onEvent(std::nullopt, at(2)));
+  }
+
+  void findsSilentStream() {
+    stream_plan Plan = plan(true);
+    CPPUNIT_ASSERT(!Plan.overdue(at(999)));
+    CPPUNIT_ASSERT(Plan.overdue(at(1000)));
+    Plan.onEvent(1, at(500));
+    CPPUNIT_ASSERT(!Plan.overdue(at(2499)));
+    CPPUNIT_ASSERT(Plan.overdue(at(2500)));
+  }
+};
+
+CPPUNIT_TEST_SUITE_NAMED_REGISTRATION(stream_plan_test, "stream_plan_test");
+
+} // namespace cardamom
--- a/server/caller_front.cpp
+++ b/server/caller_front.cpp
@@ -4,6 +4,7 @@
 #include "base/log.h"
 #include "base/metrics.h"
 #include "gateway/plain_caller.h"
+#include "gateway/stream_caller.h"
 #include "http/event_loop.h"
 #include "jobs/job_desk.h"
 
@@ -26,6 +27,7 @@
   std::string RequestId;
   std::string RouteName;
   plain_run_ptr Run;
+  stream_run_ptr Stream;
 };
 
 caller_front::caller_front(caller_front_options Options)
@@ -125,24 +127,34 @@
       Options.Desk.submit(Exchange, *Route, Id, Forwarded);
       return;
     }
-    relay(Exchange, *Route, std::move(Request));
+    if (Route->Kind == route_kind::Stream)
+      relayStream(Exchange, *Route, std::move(Request));
+    else
+      relay(Exchange, *Route, std::move(Request));
   } catch (const std::invalid_argument &Error) {
     refuse(Exchange, {}, StatusBadRequest, Error.what());
   }
 }
 
-void caller_front::relay(const exchange_ptr &Exchange, const route &Route,
-                         inbound_request Request) {
+milliseconds caller_front::timeLimit(const route &Route,
+                                     const inbound_request &Request) {
   milliseconds Limit = DefaultTimeout;
   if (Route.Timeout.count() > 0)
     Limit = std::min(Limit, Route.Timeout);
   if (Request.Patience.count() > 0)
     Limit = std::min(Limit, Request.Patience);
+  return Limit;
+}
+
+uint64_t caller_front::addPending(const exchange_ptr &Exchange,
+                                  const route &Route,
+                                  const std::string &RequestId) {
   const uint64_t Id = NextId++;
   auto Entry = std::make_unique<pending>();
   Entry->Exchange = Exchange;
-  Entry->RequestId = Request.Call.RequestId;
+  Entry->RequestId = RequestId;
   Entry->RouteName = Route.Name;
+  Pending[Id] = std::move(Entry);
   Exchange->OnCallerGone = [this, Id] {
     const auto It = Pending.find(Id);
     if (It == Pending.end())
@@ -151,7 +163,14 @@
     logState("caller_gone", {{"request", It->second->RequestId}});
     Pending.erase(It);
   };
-  Entry->Run = Options.Caller.start(
+  return Id;
+}
+
+void caller_front::relay(const exchange_ptr &Exchange, const route &Route,
+                         inbound_request Request) {
+  const milliseconds Limit = timeLimit(Route, Request);
+  const uint64_t Id = addPending(Exchange, Route, Request.Call.RequestId);
+  Pending[Id]->Run = Options.Caller.start(
       {.Call = std::move(Request.Call),
        .Service = chooseService(Route),
        .Idempotent = Route.Kind == route_kind::Idempotent,
@@ -160,7 +179,69 @@
        .ReceivedAt = Exchange->receivedAt(),
        .Deadline = Exchange->receivedAt() + Limit},
       [this, Id](const plain_answer &Answer) { onAnswer(Id, Answer); });
-  Pending[Id] = std::move(Entry);
+}
+
+void caller_front::relayStream(const exchange_ptr &Exchange, const route &Route,
+                               inbound_request Request) {
+  const milliseconds Limit = timeLimit(Route, Request);
+  Request.Call.TimeLeft = Limit;
+  const uint64_t Id = addPending(Exchange, Route, Request.Call.RequestId);
+  // The run may be destroyed by a hook; the exchange holds the answer.
+  Pending[Id]->Stream = Options.Streams.start(
+      {.Call = std::move(Request.Call),
+       .Service = chooseService(Route),
+       .Resumable = Route.Resumable,
+       .MaxAttempts = Route.MaxAttempts,
+       .FirstEventBy = Exchange->receivedAt() + Limit},
+      {.OnHead =
+           [Exchange](const upstream_head &Head) {
+             Exchange->startStream(
+                 {.Status = Head.Status, .Headers = Head.Headers, .Body = {}});
+           },
+       .OnEvent =
+           [Exchange](std::string_view Event) { Exchange->writeStream(Event); },
+       .OnEnd = [this, Id](
+                    const stream_result &Result) { onStreamEnd(Id, Result); }});
+}
+
+void caller_front::onStreamEnd(uint64_t Id, const stream_result &Result) {
+  const auto It = Pending.find(Id);
+  if (It == Pending.end())
+    return;
+  const std::unique_ptr<pending> Done = std::move(It->second);
+  Pending.erase(It);
+  switch (Result.Outcome) {
+  case stream_outcome::Complete:
+    if (!Done->Exchange->started())
+      Done->Exchange->startStream({.Status = Result.Head.Status,
+                                   .Headers = Result.Head.Headers,
+                                   .Body = {}});
+    Done->Exchange->finishStream();
+    return;
+  case stream_outcome::Failed:
+    Done->Exchange->answer({.Status = Result.Head.Status,
+                            .Headers = Result.Head.Headers,
+                            .Body = Result.Body});
+    return;
+  case stream_outcome::BrokenOff:
+    metrics::get().counter("streams_broken_off_total").add();
+    Done->Exchange->abort();
+    return;
+  case stream_outcome::NotStarted:
+    refuseByVerdict(*Done, Result.Verdict);
+    return;
+  }
+}
+
+void caller_front::refuseByVerdict(const pending &Pending,
+                                   const verdict &Verdict) {
+  if (Verdict.Certainty == run_certainty::NotRun)
+    refuse(Pending.Exchange, Pending.RequestId, StatusUnavailable,
+           Verdict.Reason, Verdict.RetryAfter);
+  else
+    refuse(Pending.Exchange, Pending.RequestId,
+           Verdict.Reason == "deadline" ? StatusTimeout : StatusBadGateway,
+           Verdict.Reason);
 }
 
 void caller_front::onAnswer(uint64_t Id, const plain_answer &Answer) {
@@ -177,14 +258,7 @@
     answerReplica(*Done, Answer);
     return;
   }
-  const verdict &Verdict = Answer.Verdict;
-  if (Verdict.Certainty == run_certainty::NotRun)
-    refuse(Done->Exchange, Done->RequestId, StatusUnavailable, Verdict.Reason,
-           Verdict.RetryAfter);
-  else
-    refuse(Done->Exchange, Done->RequestId,
-           Verdict.Reason == "deadline" ? StatusTimeout : StatusBadGateway,
-           Verdict.Reason);
+  refuseByVerdict(*Done, Answer.Verdict);
 }
 
 void caller_front::answerReplica(const pending &Pending,
--- a/server/caller_front.h
+++ b/server/caller_front.h
@@ -22,11 +22,15 @@
 
 class job_desk;
 class plain_caller;
+struct verdict;
 class plain_run;
+class stream_caller;
+struct stream_result;
 struct plain_answer;
 
 struct caller_front_options {
   plain_caller &Caller;
+  stream_caller &Streams;
   job_desk &Desk;
   const gateway_protocols &Protocols;
   /// Uniform random number in [0, 1).
@@ -59,6 +63,14 @@
   bool handleJobCall(const exchange_ptr &Exchange, bool Forwarded);
   void relay(const exchange_ptr &Exchange, const route &Route,
              inbound_request Request);
+  void relayStream(const exchange_ptr &Exchange, const route &Route,
+                   inbound_request Request);
+  void onStreamEnd(uint64_t Id, const stream_result &Result);
+  uint64_t addPending(const exchange_ptr &Exchange, const route &Route,
+                      const std::string &RequestId);
+  void refuseByVerdict(const pending &Pending, const verdict &Verdict);
+  static milliseconds timeLimit(const route &Route,
+                                const inbound_request &Request);
   void onAnswer(uint64_t Id, const plain_answer &Answer);
   void answerReplica(const pending &Pending, const plain_answer &Answer);
   void refuse(const exchange_ptr &Exchange, std::string_view RequestId,
--- a/server/gateway.cpp
+++ b/server/gateway.cpp
@@ -3,6 +3,7 @@
 #include "base/log.h"
 #include "base/metrics.h"
 #include "gateway/plain_caller.h"
+#include "gateway/stream_caller.h"
 #include "http/event_loop.h"
 #include "http/http_client.h"
 #include "http/http_server.h"
@@ -93,6 +94,7 @@
   replica_directory Directory;
   router Router;
   plain_caller Caller;
+  stream_caller Streams;
   job_desk Desk;
   caller_front Front;
   std::vector<std::unique_ptr<object_watcher>> Watchers;
@@ -140,6 +142,12 @@
               .Protocol = Options.Protocols.Upstream,
               .FailureDomain = Options.FailureDomain,
               .Random = [this] { return random(); }}),
+      Streams({.Loop = Loop,
+               .Client = Client,
+               .Directory = Directory,
+               .Router = Router,
+               .Protocol = Options.Protocols.Upstream,
+               .FailureDomain = Options.FailureDomain}),
       Desk({.Loop = Loop,
             .Client = Client,
             .Link = Link,
@@ -151,6 +159,7 @@
             .Peers = [this] { return peers(); },
             .UnixNow = unixNowMs}),
       Front({.Caller = Caller,
+             .Streams = Streams,
              .Desk = Desk,
              .Protocols = Options.Protocols,
              .Random = [this] { return random(); }}) {}
