--- a/server/gateway.cpp
+++ b/server/gateway.cpp
@@ -60,7 +60,7 @@
 
   void start();
   void watch(std::string Kind, milliseconds Pace,
-             std::function<void(const stored_object &)> Each);
+             const std::function<void(const stored_object &)> &Each);
   void onStore(bool Reachable, const std::string &Detail);
   void watchReplicas();
   void onConfig(const stored_object &Object);
@@ -207,8 +207,9 @@
   housekeeping();
 }
 
-void gateway::state::watch(std::string Kind, milliseconds Pace,
-                           std::function<void(const stored_object &)> Each) {
+void gateway::state::watch(
+    std::string Kind, milliseconds Pace,
+    const std::function<void(const stored_object &)> &Each) {
   Watchers.push_back(std::make_unique<object_watcher>(
       Loop, Link,
       object_watcher_options{.Kind = std::move(Kind),
@@ -342,6 +343,7 @@
       Ranked.emplace_back(rendezvousScore(Pool, Name), Address);
   std::sort(Ranked.rbegin(), Ranked.rend());
   std::vector<std::string> Addresses;
+  Addresses.reserve(Ranked.size());
   for (auto &[Score, Address] : Ranked)
     Addresses.push_back(std::move(Address));
   return Addresses;
--- a/settings/daemon_settings_test.cpp
+++ b/settings/daemon_settings_test.cpp
@@ -33,6 +33,7 @@
   CPPUNIT_TEST_SUITE(daemon_settings_test);
   CPPUNIT_TEST(readsBothRoles);
   CPPUNIT_TEST(refusesBadValues);
+  CPPUNIT_TEST(readsGatewayAndReserve);
   CPPUNIT_TEST(flagWinsOverEnvironment);
   CPPUNIT_TEST(checksAndPrintsWithoutRunning);
   CPPUNIT_TEST(documentationNamesEachSetting);
@@ -111,6 +112,29 @@
     CPPUNIT_ASSERT_EQUAL(2, parse({}).ExitCode);
   }
 
+  // Guards against a gateway that a load balancer cannot ask, and a reserve
+  // that needs what it does not use.
+  void readsGatewayAndReserve() {
+    const std::vector<std::string> Gateway = {"--role=gateway",
+                                              "--name=g",
+                                              "--failure-domain=z",
+                                              "--region=r",
+                                              "--store=127.0.0.1:1",
+                                              "--http-listen=127.0.0.1:2",
+                                              "--inner-listen=127.0.0.1:3",
+                                              "--lease-ms=1000"};
+    CPPUNIT_ASSERT_EQUAL(2, parse(Gateway).ExitCode);
+    const parse_result Good = parse(
+        Gateway, {"--ready-listen=127.0.0.1:4", "--stop-timeout-ms=9000"});
+    CPPUNIT_ASSERT_MESSAGE(Good.Text, Good.Run);
+    CPPUNIT_ASSERT(Good.Settings.Role == daemon_role::Gateway);
+    CPPUNIT_ASSERT(Good.Settings.StopTimeout == milliseconds(9000));
+    CPPUNIT_ASSERT_EQUAL(2, parse(Gateway, {"--ready-listen=here"}).ExitCode);
+    CPPUNIT_ASSERT(parse({"--role=reserve", "--name=s", "--failure-domain=z",
+                          "--region=r"})
+                       .Run);
+  }
+
   // Guards against an environment that silently overrides the command line.
   void flagWinsOverEnvironment() {
     ::setenv("CARDAMOM_LEASE_MS", "5000", 1);
