--- a/base/invariant.cpp
+++ b/base/invariant.cpp
@@ -11,6 +11,7 @@
   logFault("invariant_broken", {{"what", std::string(What)},
                                 {"file", std::string(File)},
                                 {"line", std::to_string(Line)}});
+  flushLog();
   std::abort();
 }
 
--- a/cmd/cardamomd.cpp
+++ b/cmd/cardamomd.cpp
@@ -67,6 +67,7 @@
     Promise.set_value();
     sigwait(&Set, &Signal);
     logFault("shutdown_forced", {{"signal", std::to_string(Signal)}});
+    flushLog();
     std::_Exit(ExitSecondSignal);
   }
 
@@ -228,5 +229,7 @@
     (Result.ExitCode == 0 ? std::cout : std::cerr) << Result.Text;
     return Result.ExitCode;
   }
-  return cardamom::run(Result.Settings);
+  const int ExitCode = cardamom::run(Result.Settings);
+  cardamom::flushLog();
+  return ExitCode;
 }
--- a/gateway/plain_caller.cpp
+++ b/gateway/plain_caller.cpp
@@ -229,7 +229,8 @@
           .Head = std::move(*Attempt.Head),
           .Body = std::move(Attempt.Body),
           .ReplicaId = Attempt.ReplicaId,
-          .Verdict = {}});
+          .Verdict = {},
+          .Tried = {}});
 }
 
 void plain_run::giveUp(time_point Now) {
@@ -238,7 +239,8 @@
             .Head = std::move(*FailureAnswer->Head),
             .Body = std::move(FailureAnswer->Body),
             .ReplicaId = FailureAnswer->ReplicaId,
-            .Verdict = {}});
+            .Verdict = {},
+            .Tried = {}});
     return;
   }
   const bool TimedOut = Now >= Request.Deadline;
@@ -255,11 +257,14 @@
                           Certainty == run_certainty::NotRun
                               ? RetryHint + milliseconds(long(
                                                 Jitter * RetryHint.count()))
-                              : milliseconds(0)}});
+                              : milliseconds(0)},
+          .Tried = {}});
 }
 
 void plain_run::finish(plain_answer Answer) {
   Finished = true;
+  for (const attempt &Attempt : Attempts)
+    Answer.Tried += (Answer.Tried.empty() ? "" : ",") + Attempt.ReplicaId;
   Timer.reset();
   // The run may be destroyed by Done; attempts that are still running are
   // given up then.
--- a/gateway/plain_caller.h
+++ b/gateway/plain_caller.h
@@ -48,6 +48,8 @@
   std::string Body;
   std::string ReplicaId;
   verdict Verdict;
+  /// Replicas to which the call was sent, in order, separated by commas.
+  std::string Tried;
 };
 
 using plain_run_ptr = std::shared_ptr<plain_run>;
--- a/http/http_engine_test.cpp
+++ b/http/http_engine_test.cpp
@@ -25,8 +25,9 @@
     sockaddr_in Address{};
     Address.sin_family = AF_INET;
     Address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
-    (void)::bind(Listener, reinterpret_cast<sockaddr *>(&Address),
-                 sizeof Address);
+    CPPUNIT_ASSERT_EQUAL(0, ::bind(Listener,
+                                   reinterpret_cast<sockaddr *>(&Address),
+                                   sizeof Address));
     ::listen(Listener, 8);
     socklen_t Length = sizeof Address;
     ::getsockname(Listener, reinterpret_cast<sockaddr *>(&Address), &Length);
@@ -77,7 +78,8 @@
   sockaddr_in Address{};
   Address.sin_family = AF_INET;
   Address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
-  (void)::bind(Socket, reinterpret_cast<sockaddr *>(&Address), sizeof Address);
+  CPPUNIT_ASSERT_EQUAL(0, ::bind(Socket, reinterpret_cast<sockaddr *>(&Address),
+                                 sizeof Address));
   socklen_t Length = sizeof Address;
   ::getsockname(Socket, reinterpret_cast<sockaddr *>(&Address), &Length);
   ::close(Socket);
@@ -91,7 +93,9 @@
   Target.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
   Target.sin_port =
       htons(uint16_t(std::stoi(Address.substr(Address.find(':') + 1))));
-  ::connect(Socket, reinterpret_cast<sockaddr *>(&Target), sizeof Target);
+  CPPUNIT_ASSERT_EQUAL(
+      0,
+      ::connect(Socket, reinterpret_cast<sockaddr *>(&Target), sizeof Target));
   return Socket;
 }
 
--- a/server/caller_front.cpp
+++ b/server/caller_front.cpp
@@ -254,6 +254,16 @@
   const auto Elapsed = std::chrono::duration_cast<milliseconds>(
       event_loop::now() - Done->Exchange->receivedAt());
   metrics::get().histogram("request_ms").record(double(Elapsed.count()));
+  logState("request_done",
+           {{"request", Done->RequestId},
+            {"route", Done->RouteName},
+            {"config", std::to_string(Config.Version)},
+            {"replica", Answer.ReplicaId},
+            {"status",
+             Answer.FromReplica ? std::to_string(Answer.Head.Status) : "none"},
+            {"reason", Answer.Verdict.Reason},
+            {"tried", Answer.Tried},
+            {"ms", std::to_string(Elapsed.count())}});
   if (Answer.FromReplica) {
     answerReplica(*Done, Answer);
     return;
