--- a/http/event_loop.cpp
+++ b/http/event_loop.cpp
@@ -45,6 +45,8 @@
 
 void event_loop::stop() { Context->stop(); }
 
+void event_loop::restart() { Context->restart(); }
+
 void event_loop::post(std::function<void()> Task) {
   asio::post(*Context, std::move(Task));
 }
--- a/http/event_loop.h
+++ b/http/event_loop.h
@@ -37,6 +37,8 @@
 
   void run();
   void stop();
+  /// Lets run() be called again after stop().
+  void restart();
   /// Runs Task on the loop's thread. Thread-safe.
   void post(std::function<void()> Task);
   /// Runs Task once after Delay, unless the handle is destroyed before.
