Drop ended jobs from memory; finish runs first where one version is wanted

Cause: a scheduler kept each job of its life; a pool whose samples must come from one version ordered changes that go on under running items, and would have begun those anew.

--- a/jobs/job_scheduler.cpp
+++ b/jobs/job_scheduler.cpp
@@ -79,6 +79,7 @@
   bool SingleVersion = false;
   bool Loaded = false;
   bool Ended = false;
+  time_point EndedAt{};
   bool Writing = false;
   result_log Log;
   std::vector<std::unique_ptr<item_state>> Items;
@@ -817,6 +818,7 @@
     return;
   const std::shared_ptr<job_state> Job = It->second;
   Job->Ended = true;
+  Job->EndedAt = event_loop::now();
   unsigned Stopped = 0;
   for (const auto &Item : Job->Items) {
     if (Item->Run)
@@ -886,6 +888,7 @@
   TickTimer = Options.Loop.after(TickInterval, [this] {
     checkRuns(event_loop::now());
     expireItems();
+    dropEndedJobs(event_loop::now());
     scheduleSoon();
     tick();
   });
@@ -907,6 +910,14 @@
   moveSlowItems(Now);
 }
 
+void job_scheduler::dropEndedJobs(time_point Now) {
+  std::erase_if(Jobs, [&](const auto &Entry) {
+    const job_state &Job = *Entry.second;
+    return Job.Ended && !Job.Writing &&
+           Now - Job.EndedAt > Options.EndedRetention;
+  });
+}
+
 void job_scheduler::expireItems() {
   const uint64_t Now = Options.UnixNow();
   for (const auto &[Id, Job] : Jobs) {
--- a/jobs/job_scheduler.h
+++ b/jobs/job_scheduler.h
@@ -68,6 +68,8 @@
   milliseconds StallTimeout{2000};
   /// Pause of a replica that refused an item.
   milliseconds RefusalPause{60};
+  /// Ended jobs are dropped from memory after this time; the store has them.
+  milliseconds EndedRetention{180000};
   size_t MaxBatchBytes = size_t(600) << 10;
   size_t MaxPageBytes = size_t(900) << 10;
 };
@@ -134,6 +136,7 @@
   void tick();
   void checkRuns(time_point Now);
   void expireItems();
+  void dropEndedJobs(time_point Now);
   void observeSpeed(item_state &Item);
   [[nodiscard]] double expectedTokens(const item_state &Item) const;
   [[nodiscard]] double remainingTokens(const item_state &Item) const;
--- a/jobs/pool_role.cpp
+++ b/jobs/pool_role.cpp
@@ -289,6 +289,7 @@
           [this](std::string_view Replica) {
             return Scheduler ? Scheduler->runningOn(Replica) : 0;
           },
+      .FinishRunsFirst = Options.SingleVersion,
       .OnFenced = [this] { reread(); },
       .OnChanged = [this] { replicasChanged(); }});
   if (PredecessorAddress.empty())
--- a/jobs/pool_role.h
+++ b/jobs/pool_role.h
@@ -40,6 +40,8 @@
   milliseconds LeaseLength{3000};
   std::string LeaseKind;
   std::string JobKind;
+  /// Whether samples of the pool must come from one version of the weights.
+  std::function<bool()> SingleVersion;
   /// Inner addresses of other gateways, the same order for all of them.
   std::function<std::vector<std::string>(const std::string &Pool)> StandBys;
   /// Uniform random number in [0, 1).
--- a/jobs/weight_driver.cpp
+++ b/jobs/weight_driver.cpp
@@ -168,7 +168,7 @@
   }
   const replica_order Order{.Model = Change->Wanted.Model,
                             .Version = Change->Wanted.Version,
-                            .FinishRunsFirst = false,
+                            .FinishRunsFirst = Options.FinishRunsFirst(),
                             .Holder = Options.Holder,
                             .FencingToken = Options.FencingToken,
                             .ExpectedOrders = Report.OrdersAccepted,
--- a/jobs/weight_driver.h
+++ b/jobs/weight_driver.h
@@ -43,6 +43,9 @@
   /// Asks for the lease to be renewed; MayOrder() tells when it is.
   std::function<void()> WantLease;
   std::function<unsigned(std::string_view Replica)> RunningOn;
+  /// Whether a sample of the pool must come from one version of the weights,
+  /// so that runs have to end before a change.
+  std::function<bool()> FinishRunsFirst;
   /// A replica has seen a higher fencing token.
   std::function<void()> OnFenced;
   /// A replica has changed its version.
--- a/server/gateway.cpp
+++ b/server/gateway.cpp
@@ -389,6 +389,16 @@
       .LeaseLength = Options.LeaseLength,
       .LeaseKind = std::string(LeaseKind),
       .JobKind = std::string(JobKind),
+      .SingleVersion =
+          [this, Name] {
+            return std::any_of(Front.config().Routes.begin(),
+                               Front.config().Routes.end(),
+                               [&](const route &Route) {
+                                 return Route.Kind == route_kind::Rollout &&
+                                        Route.SingleVersion &&
+                                        Route.Services.front().Service == Name;
+                               });
+          },
       .StandBys = [this](const std::string &Pool) { return standBys(Pool); },
       .Random = [this] { return random(); }});
 }
