Keep a former scheduler from listing what its successor does not know

Change: a new scheduler closes the sequence of each open job with an empty batch; a conflict with another writer asks for the lease before anything more is written; the holder watches its lease; reads beyond what an ended job has listed go to the store.

--- a/jobs/job_scheduler.cpp
+++ b/jobs/job_scheduler.cpp
@@ -176,37 +176,49 @@
   scheduleSoon();
 }
 
+/// Reads the batches there are by trying to create the next, empty one. The
+/// empty batch at the end keeps a predecessor that is still at work, unaware of
+/// its loss, from listing anything that this scheduler does not know.
 void job_scheduler::loadResults(const std::shared_ptr<job_state> &Job) {
+  const std::string WriteId = Options.NewId();
   Options.Link.call(
-      {.Op = object_op::Get,
+      {.Op = object_op::Create,
        .Kind = Options.ResultKind,
-       .Name = result_log::batchName(Job->Job.Id, Job->Log.batches())},
+       .Name = result_log::batchName(Job->Job.Id, Job->Log.batches()),
+       .Value = result_log::encodeBatch({}, WriteId)},
       [this, Guard = guard(), Job](const object_reply &Reply) {
         Guard([&] {
-          if (Reply.Outcome == object_outcome::Done && !Reply.Objects.empty()) {
+          if (Reply.Outcome == object_outcome::Done) {
+            Job->Log.append({});
+            onLoaded(Job);
+            return;
+          }
+          if (Reply.Outcome == object_outcome::Conflict &&
+              !Reply.Objects.empty()) {
             onListed(Job, result_log::decodeBatch(Reply.Objects.front().Spec));
             loadResults(Job);
             return;
           }
-          if (Reply.Outcome != object_outcome::NotFound) {
-            Job->FlushTimer = later(FailurePause, [this, Job] {
-              Options.Link.whenReachable([this, Guard = guard(), Job] {
-                Guard([&] { loadResults(Job); });
-              });
+          Job->FlushTimer = later(FailurePause, [this, Job] {
+            Options.Link.whenReachable([this, Guard = guard(), Job] {
+              Guard([&] { loadResults(Job); });
             });
-            return;
-          }
-          Job->Loaded = true;
-          logState("job_resumed",
-                   {{"job", Job->Job.Id},
-                    {"listed", std::to_string(Job->Log.listed().size())}});
-          serveReaders(*Job);
-          flush(Job);
-          scheduleSoon();
+          });
         });
       });
 }
 
+void job_scheduler::onLoaded(const std::shared_ptr<job_state> &Job) {
+  Job->Loaded = true;
+  Job->FlushTimer.reset();
+  logState("job_resumed",
+           {{"job", Job->Job.Id},
+            {"listed", std::to_string(Job->Log.listed().size())}});
+  serveReaders(*Job);
+  flush(Job);
+  scheduleSoon();
+}
+
 nlohmann::json job_scheduler::exportProgress(milliseconds MinAge) const {
   const time_point Now = event_loop::now();
   nlohmann::json Progress = nlohmann::json::object();
@@ -756,11 +768,19 @@
       if (Reply.Outcome == object_outcome::Conflict && !Reply.Objects.empty()) {
         // Either an earlier try of this write was done and its answer lost,
         // or another scheduler has written this batch.
-        Job->Writing = false;
         const nlohmann::json &Spec = Reply.Objects.front().Spec;
-        if (result_log::writeIdOf(Spec) != WriteId)
-          logState("results_of_other_writer", {{"job", Job->Job.Id}});
+        const bool Own = result_log::writeIdOf(Spec) == WriteId;
+        Job->Writing = !Own;
         onListed(Job, result_log::decodeBatch(Spec));
+        if (Own)
+          return;
+        logState("results_of_other_writer", {{"job", Job->Job.Id}});
+        Options.ConfirmLease([this, Guard = guard(), Job] {
+          Guard([&] {
+            Job->Writing = false;
+            flush(Job);
+          });
+        });
         return;
       }
       logState("results_write_failed",
@@ -844,6 +864,13 @@
     return;
   }
   const std::shared_ptr<job_state> Job = It->second;
+  // Once a job has ended nothing is written here any more, and a former
+  // scheduler may have listed results at the last moment: the store knows.
+  const size_t Listed = Job->Log.listed().size();
+  if (Job->Ended && Call.After >= Listed && Listed < Job->Items.size()) {
+    Done(false, {});
+    return;
+  }
   auto Reader = std::make_shared<reader>();
   Reader->After = Call.After;
   Reader->Done = std::move(Done);
--- a/jobs/job_scheduler.h
+++ b/jobs/job_scheduler.h
@@ -61,6 +61,9 @@
   /// Whether the replica is changing the weights of the model.
   std::function<bool(std::string_view Replica, std::string_view Model)>
       ChangingWeights;
+  /// Another scheduler has written: calls Go once the store has confirmed that
+  /// this process still holds the pool's lease, and never otherwise.
+  std::function<void(std::function<void()> Go)> ConfirmLease;
   /// Results wait this long for others before they are written; each write is
   /// a priced call, and readers come about twice a second.
   milliseconds BatchDelay{100};
@@ -109,6 +112,7 @@
   struct reader;
 
   void loadResults(const std::shared_ptr<job_state> &Job);
+  void onLoaded(const std::shared_ptr<job_state> &Job);
   void takeImported(item_state &Item);
   void markSpareGroups(job_state &Job);
   void schedule();
--- a/jobs/pool_role.cpp
+++ b/jobs/pool_role.cpp
@@ -69,7 +69,6 @@
     Lease.observeAbsent();
   else
     Lease.observe(decodeLease(Object), event_loop::now());
-  ReadAt = event_loop::now();
   if (Lease.record().Holder != Former) {
     HolderDown = false;
     AskFailed = 0;
@@ -108,7 +107,7 @@
               {"ms", std::to_string(std::chrono::duration_cast<milliseconds>(
                                         Now - TickedAt)
                                         .count())}});
-  if (Paused || Now - ReadAt > Options.RereadInterval)
+  if (Paused)
     reread();
 }
 
@@ -256,6 +255,46 @@
   });
 }
 
+/// Learns of a successor. A holder that served on for seconds would show
+/// readers fewer results than its successor has shown them.
+void pool_role::watchLease() {
+  const auto See = [this](const stored_object &Object) {
+    if (Object.Name == pool())
+      observe(Object);
+  };
+  LeaseWatcher = std::make_unique<object_watcher>(
+      Options.Scheduler.Loop, Options.Scheduler.Link,
+      object_watcher_options{.Kind = Options.LeaseKind,
+                             .OnSnapshot =
+                                 [See](std::span<const stored_object> All) {
+                                   for (const stored_object &Object : All)
+                                     See(Object);
+                                 },
+                             .OnChange = See});
+  LeaseWatcher->start();
+}
+
+void pool_role::confirmLease(std::function<void()> Go) {
+  Options.Scheduler.Link.call(
+      {.Op = object_op::Get, .Kind = Options.LeaseKind, .Name = pool()},
+      [this, Weak = std::weak_ptr<bool>(Alive),
+       Go = std::move(Go)](const object_reply &Reply) {
+        if (Weak.expired())
+          return;
+        if (Reply.Outcome == object_outcome::Done && !Reply.Objects.empty()) {
+          observe(Reply.Objects.front());
+          if (Lease.holds())
+            Go();
+          return;
+        }
+        if (Lease.holds())
+          Options.Scheduler.Link.whenReachable([this, Weak, Go] {
+            if (!Weak.expired())
+              confirmLease(Go);
+          });
+      });
+}
+
 void pool_role::becomeScheduler(const std::string &PredecessorAddress) {
   AcquiredAtRevision = Lease.record().Revision;
   StartedAt = event_loop::now();
@@ -269,7 +308,11 @@
                                             std::string_view Model) {
     return Weights && Weights->changing(Replica, Model);
   };
+  SchedulerOptions.ConfirmLease = [this](std::function<void()> Go) {
+    confirmLease(std::move(Go));
+  };
   Scheduler = std::make_unique<job_scheduler>(std::move(SchedulerOptions));
+  watchLease();
   Weights = std::make_unique<weight_driver>(weight_driver_options{
       .Loop = Options.Scheduler.Loop,
       .Client = Options.Scheduler.Client,
@@ -469,6 +512,7 @@
   Options.Scheduler.Loop.post(
       [Jobs = std::shared_ptr<object_watcher>(std::move(JobWatcher)),
        Versions = std::shared_ptr<object_watcher>(std::move(WeightWatcher)),
+       Own = std::shared_ptr<object_watcher>(std::move(LeaseWatcher)),
        Driver = std::shared_ptr<weight_driver>(std::move(Weights)),
        Former = std::shared_ptr<job_scheduler>(std::move(Scheduler))] {});
 }
--- a/jobs/pool_role.h
+++ b/jobs/pool_role.h
@@ -10,8 +10,9 @@
 ///
 /// One gateway holds the pool's lease. The others ask it regularly whether it
 /// is alive and has the store; when it is not, one of them takes the lease over
-/// by a conditional write. The lease is read when there is reason to, not
-/// watched, so that renewals cost one call each.
+/// by a conditional write. Only the holder watches the lease, to learn at once
+/// of a successor whose questions it did not get; the others read it when there
+/// is reason to.
 
 #ifndef CARDAMOM_JOBS_POOL_ROLE_H
 #define CARDAMOM_JOBS_POOL_ROLE_H
@@ -32,7 +33,8 @@
 struct call_end;
 
 struct pool_role_options {
-  /// Scheduler's options; ChangingWeights is set by the role.
+  /// Scheduler's options; ChangingWeights and ConfirmLease are set by the
+  /// role.
   job_scheduler_options Scheduler;
   std::string Self;
   std::string Incarnation;
@@ -66,9 +68,6 @@
   milliseconds OutageGrace{1200};
   /// Time within which a new scheduler has read its jobs.
   milliseconds StartGrace{3000};
-  /// A holder reads its lease this often, to learn of a successor whose
-  /// questions it does not get.
-  milliseconds RereadInterval{5000};
   /// A process that finds its timers this late was paused, and reads its
   /// lease before it goes on.
   milliseconds PauseLimit{1000};
@@ -123,6 +122,8 @@
   void renew();
   void write(const pool_lease_record &Record, bool Renewal);
   void reread();
+  void confirmLease(std::function<void()> Go);
+  void watchLease();
   void becomeScheduler(const std::string &PredecessorAddress);
   void askForHandover(const std::string &Address);
   void askForCheckpoint(std::vector<std::string> Addresses);
@@ -139,7 +140,6 @@
   bool Rereading = false;
   time_point TickedAt{};
   time_point StartedAt{};
-  time_point ReadAt{};
   bool Writing = false;
   bool Released = false;
   unsigned AskFailed = 0;
@@ -148,6 +148,7 @@
   std::unique_ptr<weight_driver> Weights;
   std::unique_ptr<object_watcher> JobWatcher;
   std::unique_ptr<object_watcher> WeightWatcher;
+  std::unique_ptr<object_watcher> LeaseWatcher;
   std::shared_ptr<client_call_state> AskCall;
   std::shared_ptr<client_call_state> HandoverCall;
   std::shared_ptr<client_call_state> CheckpointCall;
