Ignore versions that are named while a scheduler steps down

Ruled out: moved items, which the last lines of the log named; they were only the last that had been written. Figures: scheduler_test ended with a segmentation fault before, passes now.

--- a/jobs/pool_role.cpp
+++ b/jobs/pool_role.cpp
@@ -478,7 +478,8 @@
                                  }});
   JobWatcher->start();
   const auto OnVersion = [this](const stored_object &Object) {
-    if (Object.Removed)
+    // Between stepping down and the end of this watch there is no driver.
+    if (Object.Removed || !Weights)
       return;
     try {
       const named_version Named =
