--- a/policy/lease_promise_test.cpp
+++ b/policy/lease_promise_test.cpp
@@ -104,7 +104,7 @@
     unsigned Acquired = 0;
     for (unsigned Seed = 1; Seed <= 300; ++Seed) {
       std::mt19937 Random(Seed);
-      const auto chance = [&](double P) {
+      const auto Chance = [&](double P) {
         return std::uniform_real_distribution<>(0, 1)(Random) < P;
       };
       lease_object Object;
@@ -125,19 +125,19 @@
         size_t Acting = 0;
         for (size_t I = 0; I < Processes.size(); ++I) {
           lease &Process = Processes[I];
-          if (chance(0.01))
+          if (Chance(0.01))
             PausedUntil[I] = Now + milliseconds(Random() % 5000);
           if (Now >= PausedUntil[I]) {
-            if (chance(0.3)) {
+            if (Chance(0.3)) {
               if (Object.Record.Revision == 0)
                 Process.observeAbsent();
               else
                 Process.observe(Object.Record, Now);
             }
             const bool Wants =
-                Process.mayAcquire(/*HolderDown=*/chance(0.05)) ||
+                Process.mayAcquire(/*HolderDown=*/Chance(0.05)) ||
                 Process.shouldRenew(Now);
-            if (Wants && chance(0.2))
+            if (Wants && Chance(0.2))
               Late.push_back({.At = Now + milliseconds(Random() % 6000),
                               .Record = Process.proposal()});
             else if (Wants)
--- a/policy/weight_plan_test.cpp
+++ b/policy/weight_plan_test.cpp
@@ -87,7 +87,7 @@
     for (int Ms = 0; Ms < 40000; Ms += 50) {
       if (Ms % 4000 == 0 && Ms > 0) {
         for (auto &[Model, Version] : Named) {
-          unsigned Fresh = 0;
+          size_t Fresh = 0;
           for (const weight_replica &Replica : Replicas)
             Fresh += Replica.Versions.at(Model) >= Version;
           CPPUNIT_ASSERT_MESSAGE(Model + " at " + std::to_string(Ms),
