Block stop signals before the log's writer starts

Cause: the log's writer is a thread since logs go to standard output, and was started before SIGTERM was blocked; an entry or agent was ended by the first SIGTERM without its shutdown.

--- a/cmd/cardamomd.cpp
+++ b/cmd/cardamomd.cpp
@@ -204,13 +204,14 @@
 }
 
 int run(const daemon_settings &Settings) {
-  initLog(Settings.Name, Settings.LogLevel);
   std::signal(SIGPIPE, SIG_IGN);
   const bool HasSignalThread = Settings.Role == daemon_role::Entry ||
                                Settings.Role == daemon_role::Agent;
   const sigset_t Set = stopSignals();
   if (HasSignalThread)
     pthread_sigmask(SIG_BLOCK, &Set, nullptr);
+  // Starts the log's writer, which must inherit the mask.
+  initLog(Settings.Name, Settings.LogLevel);
   try {
     return runRole(Settings);
   } catch (const std::exception &Error) {
