Close ended jobs in the store; list results by groups; give item bodies from memory

Ruled out: trainers' own reads, which the scheduler answers from memory. Change: an ended job gets a closing batch, after which nothing can be listed, so the scheduler can answer for it and the archive stops asking; a result that completes no group the trainer waits for may wait 250 ms for others (policy/listing_pace); item bodies come from whoever has the job in memory.

--- a/jobs/inner_paths.h
+++ b/jobs/inner_paths.h
@@ -14,6 +14,9 @@
 /// GET ?pool=P&job=J&after=N&wait_ms=W: a page of results; 404 when the
 /// scheduler does not have the job.
 inline constexpr std::string_view InnerResultsPath = "/inner/results";
+/// GET ?pool=P&job=J&item=I: the item's decoded body; 404 when the scheduler
+/// does not have it.
+inline constexpr std::string_view InnerItemPath = "/inner/item";
 /// POST ?pool=P&job=J: the job has been ended in the store.
 inline constexpr std::string_view InnerEndPath = "/inner/end";
 
--- a/jobs/job.h
+++ b/jobs/job.h
@@ -10,6 +10,7 @@
 #include <cstdint>
 #include <optional>
 #include <string>
+#include <string_view>
 #include <vector>
 
 namespace cardamom {
@@ -52,6 +53,9 @@
   std::vector<job_item> Items;
 };
 
+/// The item's decoded body; nothing when the job has no such item.
+std::optional<std::string> bodyOf(const job &Job, std::string_view ItemId);
+
 /// What is listed for one item. Immutable once listed.
 struct item_result {
   std::string ItemId;
--- a/jobs/job_archive.cpp
+++ b/jobs/job_archive.cpp
@@ -80,7 +80,8 @@
 void job_archive::fetchResults(const entry_ptr &Entry, uint64_t After,
                                std::function<void(archive_reply)> Done) {
   const size_t Listed = Entry->Log.listed().size();
-  if (After < Listed || Listed >= Entry->Job.Items.size()) {
+  if (After < Listed || Listed >= Entry->Job.Items.size() ||
+      Entry->Log.closed()) {
     Done({.Status = archive_status::Found, .Body = page(*Entry, After)});
     return;
   }
@@ -102,9 +103,11 @@
           return;
         }
         // Another read may have fetched the same batch meanwhile.
-        if (Entry->Log.batches() == Number) {
-          std::vector<item_result> Batch =
-              result_log::decodeBatch(Reply.Objects.front().Spec);
+        const nlohmann::json &Spec = Reply.Objects.front().Spec;
+        if (Entry->Log.batches() == Number && result_log::isClosing(Spec)) {
+          Entry->Log.close();
+        } else if (Entry->Log.batches() == Number) {
+          std::vector<item_result> Batch = result_log::decodeBatch(Spec);
           for (const item_result &Result : Batch)
             Entry->Bytes += Result.Text.size();
           Entry->Log.append(std::move(Batch));
@@ -118,6 +121,14 @@
                     Options.MaxPageBytes, Options.Protocols);
 }
 
+std::optional<std::string>
+job_archive::knownItemBody(const job_call &Call) const {
+  const auto Entry = Entries.find(Call.JobId);
+  if (Entry == Entries.end())
+    return std::nullopt;
+  return bodyOf(Entry->second->Job, Call.ItemId);
+}
+
 void job_archive::itemBody(const job_call &Call,
                            std::function<void(archive_reply)> Done) {
   find(Call.JobId, [ItemId = Call.ItemId, Done = std::move(Done)](
@@ -126,13 +137,10 @@
       Done({.Status = Status, .Body = {}});
       return;
     }
-    const auto It =
-        std::find_if(Entry->Job.Items.begin(), Entry->Job.Items.end(),
-                     [&](const job_item &Item) { return Item.Id == ItemId; });
-    if (It == Entry->Job.Items.end())
-      Done({.Status = archive_status::NotFound, .Body = {}});
+    if (auto Body = bodyOf(Entry->Job, ItemId))
+      Done({.Status = archive_status::Found, .Body = std::move(*Body)});
     else
-      Done({.Status = archive_status::Found, .Body = It->Body});
+      Done({.Status = archive_status::NotFound, .Body = {}});
   });
 }
 
--- a/jobs/job_archive.h
+++ b/jobs/job_archive.h
@@ -18,6 +18,7 @@
 #include <list>
 #include <map>
 #include <memory>
+#include <optional>
 #include <string>
 
 namespace cardamom {
@@ -47,6 +48,9 @@
   /// A page from Call.After on, without waiting for further results.
   void read(const job_call &Call, std::function<void(archive_reply)> Done);
   void itemBody(const job_call &Call, std::function<void(archive_reply)> Done);
+  /// The item's body if its job is in memory.
+  [[nodiscard]] std::optional<std::string>
+  knownItemBody(const job_call &Call) const;
 
 private:
   struct entry {
--- a/jobs/job_desk.cpp
+++ b/jobs/job_desk.cpp
@@ -257,9 +257,7 @@
     end(Visit);
     return;
   case job_call_kind::ItemBody:
-    Archive.itemBody(Call, [this, Visit](const archive_reply &Reply) {
-      answerArchive(Visit, Reply, Bytes);
-    });
+    itemBody(Visit);
     return;
   }
 }
@@ -327,6 +325,48 @@
         });
 }
 
+/// Bodies never change, so whoever has the job in memory can answer.
+void job_desk::itemBody(const visit_ptr &Visit) {
+  const job_call &Call = Visit->Call;
+  std::optional<std::string> Body = Archive.knownItemBody(Call);
+  std::string Address;
+  for (const std::string &Pool : Visit->Pools) {
+    pool_role *Role = Options.FindPool(Pool);
+    if (!Body && Role && Role->scheduler())
+      Body = Role->scheduler()->itemBody(Call.JobId, Call.ItemId);
+    if (Role && Address.empty())
+      Address = Role->schedulerAddress();
+  }
+  if (Body) {
+    answer(Visit->Exchange, StatusOk, std::move(*Body), Bytes);
+    return;
+  }
+  const auto FromStore = [this, Visit] {
+    Archive.itemBody(Visit->Call, [this, Visit](const archive_reply &Reply) {
+      answerArchive(Visit, Reply, Bytes);
+    });
+  };
+  if (Address.empty() || Visit->Pools.size() != 1) {
+    FromStore();
+    return;
+  }
+  const http_request Question{.Method = "GET",
+                              .Target = std::string(InnerItemPath) + "?pool=" +
+                                        percentEncode(Visit->Pools.front()) +
+                                        "&job=" + percentEncode(Call.JobId) +
+                                        "&item=" + percentEncode(Call.ItemId),
+                              .Headers = {{"Host", Address}},
+                              .Body = {}};
+  fetch(Address, Question, Options.ForwardTimeout,
+        [Visit, FromStore](const call_end &End, http_response Response) {
+          if (End.Result == call_result::Complete &&
+              Response.Status == StatusOk)
+            answer(Visit->Exchange, StatusOk, std::move(Response.Body), Bytes);
+          else
+            FromStore();
+        });
+}
+
 void job_desk::readArchive(const visit_ptr &Visit) {
   Archive.read(Visit->Call, [this, Visit](const archive_reply &Reply) {
     answerArchive(Visit, Reply, Json);
--- a/jobs/job_desk.h
+++ b/jobs/job_desk.h
@@ -75,6 +75,7 @@
   void read(const visit_ptr &Visit);
   void askScheduler(const visit_ptr &Visit, const std::string &Address,
                     const std::string &Pool);
+  void itemBody(const visit_ptr &Visit);
   void readArchive(const visit_ptr &Visit);
   void end(const visit_ptr &Visit);
   void notifyEnd(const std::string &JobId,
--- a/jobs/job_scheduler.cpp
+++ b/jobs/job_scheduler.cpp
@@ -6,8 +6,11 @@
 #include "http/event_loop.h"
 #include "jobs/item_run.h"
 #include "jobs/result_page.h"
+#include "jobs/result_writer.h"
+#include "policy/listing_pace.h"
 
 #include <algorithm>
+#include <optional>
 #include <stdexcept>
 #include <vector>
 
@@ -69,7 +72,9 @@
 };
 
 struct job_scheduler::job_state {
-  explicit job_state(job Job) : Job(std::move(Job)), Log(this->Job.Id) {}
+  explicit job_state(job Job) : Job(std::move(Job)) {}
+
+  [[nodiscard]] const result_log &log() const { return Writer->log(); }
 
   job Job;
   time_point AddedAt;
@@ -77,14 +82,12 @@
   uint64_t ExpiresAtMs = 0;
   unsigned MaxAttempts = 1;
   bool SingleVersion = false;
-  bool Loaded = false;
   bool Ended = false;
   time_point EndedAt{};
-  bool Writing = false;
-  result_log Log;
+  std::unique_ptr<result_writer> Writer;
+  std::optional<listing_pace> Pace;
   std::vector<std::unique_ptr<item_state>> Items;
   std::vector<std::shared_ptr<reader>> Readers;
-  timer_handle FlushTimer;
 };
 
 job_scheduler::job_scheduler(job_scheduler_options Options)
@@ -99,7 +102,7 @@
     // A timer that has not fired yet may keep the job; its runs must not
     // outlive this object.
     Job->Items.clear();
-    Job->FlushTimer.reset();
+    Job->Writer.reset();
     const auto Readers = std::move(Job->Readers);
     Job->Readers.clear();
     for (const auto &Reader : Readers) {
@@ -129,7 +132,7 @@
 size_t job_scheduler::openJobs() const {
   return size_t(std::count_if(Jobs.begin(), Jobs.end(), [](const auto &Entry) {
     const job_state &Job = *Entry.second;
-    return !Job.Ended && Job.Log.listed().size() < Job.Items.size();
+    return !Job.Ended && Job.log().listed().size() < Job.Items.size();
   }));
 }
 
@@ -158,6 +161,8 @@
     Job->Items.push_back(std::move(State));
   }
   markSpareGroups(*Job);
+  Job->Writer = makeWriter(Job);
+  Job->Pace = makePace(*Job);
   Jobs[Job->Job.Id] = Job;
   for (const auto &Item : Job->Items)
     takeImported(*Item);
@@ -167,55 +172,40 @@
                          {"items", std::to_string(Job->Items.size())},
                          {"min_version", std::to_string(Job->Job.MinVersion)},
                          {"age_ms", std::to_string(AgeMs)}});
-  if (HasResults) {
-    loadResults(Job);
-    return;
-  }
-  Job->Loaded = true;
-  flush(Job);
+  Job->Writer->start(HasResults);
   scheduleSoon();
 }
 
-/// Reads the batches there are by trying to create the next, empty one. The
-/// empty batch at the end keeps a predecessor that is still at work, unaware of
-/// its loss, from listing anything that this scheduler does not know.
-void job_scheduler::loadResults(const std::shared_ptr<job_state> &Job) {
-  const std::string WriteId = Options.NewId();
-  Options.Link.call(
-      {.Op = object_op::Create,
-       .Kind = Options.ResultKind,
-       .Name = result_log::batchName(Job->Job.Id, Job->Log.batches()),
-       .Value = result_log::encodeBatch({}, WriteId)},
-      [this, Guard = guard(), Job](const object_reply &Reply) {
-        Guard([&] {
-          if (Reply.Outcome == object_outcome::Done) {
-            Job->Log.append({});
-            onLoaded(Job);
-            return;
-          }
-          if (Reply.Outcome == object_outcome::Conflict &&
-              !Reply.Objects.empty()) {
-            onListed(Job, result_log::decodeBatch(Reply.Objects.front().Spec));
-            loadResults(Job);
-            return;
-          }
-          Job->FlushTimer = later(FailurePause, [this, Job] {
-            Options.Link.whenReachable([this, Guard = guard(), Job] {
-              Guard([&] { loadResults(Job); });
-            });
-          });
-        });
-      });
-}
-
-void job_scheduler::onLoaded(const std::shared_ptr<job_state> &Job) {
-  Job->Loaded = true;
-  Job->FlushTimer.reset();
+std::unique_ptr<result_writer>
+job_scheduler::makeWriter(const std::shared_ptr<job_state> &Job) {
+  // The writer belongs to the job.
+  job_state *State = Job.get();
+  return std::make_unique<result_writer>(
+      result_writer_options{
+          .Loop = Options.Loop,
+          .Link = Options.Link,
+          .ResultKind = Options.ResultKind,
+          .NewId = Options.NewId,
+          .ConfirmLease = Options.ConfirmLease,
+          .MaxBatchBytes = Options.MaxBatchBytes,
+          .OnReady = [this, State] { onLoaded(*State); },
+          .OnListed = [this, State](size_t Count) { onListed(*State, Count); },
+          .OnClosedByOther = [this, Id = Job->Job.Id] { endJob(Id); }},
+      Job->Job.Id);
+}
+
+listing_pace job_scheduler::makePace(const job_state &Job) const {
+  std::vector<std::string_view> Groups;
+  for (const auto &Item : Job.Items)
+    Groups.push_back(Item->Item->Group);
+  return {{.Delay = Options.BatchDelay}, Groups, Job.Job.TargetGroups};
+}
+
+void job_scheduler::onLoaded(job_state &Job) {
   logState("job_resumed",
-           {{"job", Job->Job.Id},
-            {"listed", std::to_string(Job->Log.listed().size())}});
-  serveReaders(*Job);
-  flush(Job);
+           {{"job", Job.Job.Id},
+            {"listed", std::to_string(Job.log().listed().size())}});
+  serveReaders(Job);
   scheduleSoon();
 }
 
@@ -225,7 +215,7 @@
   for (const auto &[Id, Job] : Jobs) {
     if (Job->Ended)
       continue;
-    for (const item_result &Result : Job->Log.waiting())
+    for (const item_result &Result : Job->log().waiting())
       Progress[Result.ItemId] = result_log::encodeBatch({&Result, 1}, {});
     for (const auto &Item : Job->Items) {
       const item_text &Text = Item->Text;
@@ -379,7 +369,7 @@
   std::vector<item_state *> Candidates;
   std::vector<waiting_item> Waiting;
   for (const auto &[Id, Job] : Jobs) {
-    if (Job->Ended || !Job->Loaded)
+    if (Job->Ended || !Job->Writer->ready())
       continue;
     for (const auto &Item : Job->Items) {
       if (Item->Phase != item_phase::Waiting || Now < Item->NotBefore)
@@ -718,112 +708,27 @@
   Item.Phase = item_phase::Done;
   Item.Run.reset();
   Item.Retry.reset();
-  const auto Job = Jobs.find(Item.Job->Job.Id)->second;
-  Job->Log.queue(std::move(Result));
-  const bool Last =
-      Job->Log.listed().size() + Job->Log.queued() == Job->Items.size();
-  if (Last)
-    flush(Job);
-  else
-    flushSoon(Job);
-}
-
-void job_scheduler::flushSoon(const std::shared_ptr<job_state> &Job) {
-  if (Job->FlushTimer || Job->Writing)
-    return;
-  Job->FlushTimer = later(Options.BatchDelay, [this, Job] {
-    Job->FlushTimer.reset();
-    flush(Job);
-  });
+  Item.Job->Writer->queue(std::move(Result),
+                          Item.Job->Pace->onFinished(Item.Item->Group));
 }
 
-void job_scheduler::flush(const std::shared_ptr<job_state> &Job) {
-  // Until the batches there are have been read, the next number is unknown.
-  if (Job->Writing || Job->Ended || !Job->Loaded)
-    return;
-  std::vector<item_result> Batch = Job->Log.nextBatch(Options.MaxBatchBytes);
-  if (Batch.empty())
+void job_scheduler::onListed(job_state &Job, size_t Count) {
+  dropListedItems(Job);
+  if (!Job.Writer->ready())
     return;
-  Job->Writing = true;
-  write(Job, std::move(Batch), Options.NewId());
-}
-
-void job_scheduler::write(const std::shared_ptr<job_state> &Job,
-                          std::vector<item_result> Batch,
-                          const std::string &WriteId) {
-  object_request Request{
-      .Op = object_op::Create,
-      .Kind = Options.ResultKind,
-      .Name = result_log::batchName(Job->Job.Id, Job->Log.batches()),
-      .Value = result_log::encodeBatch(Batch, WriteId)};
-  Options.Link.call(Request, [this, Guard = guard(), Job,
-                              Batch = std::move(Batch),
-                              WriteId](const object_reply &Reply) mutable {
-    Guard([&] {
-      if (Reply.Outcome == object_outcome::Done) {
-        Job->Writing = false;
-        onListed(Job, std::move(Batch));
-        return;
-      }
-      if (Reply.Outcome == object_outcome::Conflict && !Reply.Objects.empty()) {
-        // Either an earlier try of this write was done and its answer lost,
-        // or another scheduler has written this batch.
-        const nlohmann::json &Spec = Reply.Objects.front().Spec;
-        const bool Own = result_log::writeIdOf(Spec) == WriteId;
-        Job->Writing = !Own;
-        onListed(Job, result_log::decodeBatch(Spec));
-        if (Own)
-          return;
-        logState("results_of_other_writer", {{"job", Job->Job.Id}});
-        Options.ConfirmLease([this, Guard = guard(), Job] {
-          Guard([&] {
-            Job->Writing = false;
-            flush(Job);
-          });
-        });
-        return;
-      }
-      logState("results_write_failed",
-               {{"job", Job->Job.Id},
-                {"outcome", std::string(toString(Reply.Outcome))},
-                {"detail", Reply.Detail}});
-      Job->FlushTimer =
-          later(FailurePause,
-                [this, Job, Batch = std::move(Batch), WriteId]() mutable {
-                  Options.Link.whenReachable([this, Guard = guard(), Job,
-                                              Batch = std::move(Batch),
-                                              WriteId]() mutable {
-                    Guard([&] {
-                      Job->FlushTimer.reset();
-                      write(Job, std::move(Batch), WriteId);
-                    });
-                  });
-                });
-    });
-  });
-}
-
-void job_scheduler::onListed(const std::shared_ptr<job_state> &Job,
-                             std::vector<item_result> Batch) {
-  const size_t Count = Batch.size();
-  Job->Log.append(std::move(Batch));
-  dropListedItems(*Job);
-  if (Job->Loaded)
-    logState("results_listed",
-             {{"job", Job->Job.Id},
-              {"results", std::to_string(Count)},
-              {"listed", std::to_string(Job->Log.listed().size())},
-              {"age_ms",
-               std::to_string(Options.UnixNow() - Job->Job.SubmittedAtMs)}});
-  serveReaders(*Job);
-  if (Job->Log.queued() > 0)
-    flushSoon(Job);
+  logState(
+      "results_listed",
+      {{"job", Job.Job.Id},
+       {"results", std::to_string(Count)},
+       {"listed", std::to_string(Job.log().listed().size())},
+       {"age_ms", std::to_string(Options.UnixNow() - Job.Job.SubmittedAtMs)}});
+  serveReaders(Job);
 }
 
 /// Items that another scheduler has listed need no run of ours.
 void job_scheduler::dropListedItems(job_state &Job) {
   for (const auto &Item : Job.Items) {
-    if (Item->Phase == item_phase::Done || !Job.Log.isListed(Item->Item->Id))
+    if (Item->Phase == item_phase::Done || !Job.log().isListed(Item->Item->Id))
       continue;
     stopRun(*Item);
     Item->Scoring.reset();
@@ -849,10 +754,12 @@
     Item->Phase = item_phase::Done;
   }
   logState("job_ended", {{"job", Job->Job.Id},
-                         {"listed", std::to_string(Job->Log.listed().size())},
+                         {"listed", std::to_string(Job->log().listed().size())},
                          {"items", std::to_string(Job->Items.size())},
                          {"stopped_runs", std::to_string(Stopped)}});
   serveReaders(*Job);
+  if (Job->log().listed().size() < Job->Items.size())
+    Job->Writer->close();
   scheduleSoon();
 }
 
@@ -864,10 +771,11 @@
     return;
   }
   const std::shared_ptr<job_state> Job = It->second;
-  // Once a job has ended nothing is written here any more, and a former
-  // scheduler may have listed results at the last moment: the store knows.
-  const size_t Listed = Job->Log.listed().size();
-  if (Job->Ended && Call.After >= Listed && Listed < Job->Items.size()) {
+  // Until an ended job is closed a former scheduler may list results: the store
+  // knows.
+  const size_t Listed = Job->log().listed().size();
+  if (Job->Ended && !Job->log().closed() && Call.After >= Listed &&
+      Listed < Job->Items.size()) {
     Done(false, {});
     return;
   }
@@ -877,21 +785,22 @@
   Job->Readers.push_back(Reader);
   // A reader whose time is over gets the page as it is then.
   const std::weak_ptr<reader> Weak = Reader;
-  Reader->Timer = later(std::max(Call.Wait, milliseconds(Job->Loaded ? 0 : 1)),
-                        [this, Job, Weak] {
-                          const auto Self = Weak.lock();
-                          if (!Self)
-                            return;
-                          std::erase(Job->Readers, Self);
-                          Self->Done(Job->Loaded, page(*Job, Self->After));
-                        });
+  Reader->Timer =
+      later(std::max(Call.Wait, milliseconds(Job->Writer->ready() ? 0 : 1)),
+            [this, Job, Weak] {
+              const auto Self = Weak.lock();
+              if (!Self)
+                return;
+              std::erase(Job->Readers, Self);
+              Self->Done(Job->Writer->ready(), page(*Job, Self->After));
+            });
   serveReaders(*Job);
 }
 
 void job_scheduler::serveReaders(job_state &Job) {
-  if (!Job.Loaded)
+  if (!Job.Writer->ready())
     return;
-  const size_t Listed = Job.Log.listed().size();
+  const size_t Listed = Job.log().listed().size();
   const bool NoMore = Job.Ended || Listed == Job.Items.size();
   std::vector<std::shared_ptr<reader>> Ready;
   std::erase_if(Job.Readers, [&](const std::shared_ptr<reader> &Reader) {
@@ -906,8 +815,14 @@
   }
 }
 
+std::optional<std::string>
+job_scheduler::itemBody(std::string_view JobId, std::string_view ItemId) const {
+  const auto It = Jobs.find(JobId);
+  return It == Jobs.end() ? std::nullopt : bodyOf(It->second->Job, ItemId);
+}
+
 std::string job_scheduler::page(const job_state &Job, uint64_t After) const {
-  return encodePage(Job.Log.listed(), Job.Items.size(), After,
+  return encodePage(Job.log().listed(), Job.Items.size(), After,
                     Options.MaxPageBytes, Options.Protocols);
 }
 
@@ -940,7 +855,7 @@
 void job_scheduler::dropEndedJobs(time_point Now) {
   std::erase_if(Jobs, [&](const auto &Entry) {
     const job_state &Job = *Entry.second;
-    return Job.Ended && !Job.Writing &&
+    return Job.Ended && !Job.Writer->busy() &&
            Now - Job.EndedAt > Options.EndedRetention;
   });
 }
@@ -948,7 +863,7 @@
 void job_scheduler::expireItems() {
   const uint64_t Now = Options.UnixNow();
   for (const auto &[Id, Job] : Jobs) {
-    if (Job->Ended || !Job->Loaded || Job->ExpiresAtMs == 0 ||
+    if (Job->Ended || !Job->Writer->ready() || Job->ExpiresAtMs == 0 ||
         Now < Job->ExpiresAtMs)
       continue;
     for (const auto &Item : Job->Items) {
--- a/jobs/job_scheduler.h
+++ b/jobs/job_scheduler.h
@@ -17,12 +17,12 @@
 #define CARDAMOM_JOBS_JOB_SCHEDULER_H
 
 #include "gateway/protocols.h"
-#include "jobs/result_log.h"
 #include "policy/item_placement.h"
 
 #include <functional>
 #include <map>
 #include <memory>
+#include <optional>
 #include <set>
 #include <span>
 #include <string>
@@ -32,8 +32,10 @@
 
 class event_loop;
 class http_client;
+class listing_pace;
 class object_link;
 class plain_caller;
+class result_writer;
 class timer_state;
 struct item_run_end;
 struct plain_answer;
@@ -64,9 +66,9 @@
   /// Another scheduler has written: calls Go once the store has confirmed that
   /// this process still holds the pool's lease, and never otherwise.
   std::function<void(std::function<void()> Go)> ConfirmLease;
-  /// Results wait this long for others before they are written; each write is
-  /// a priced call, and readers come about twice a second.
-  milliseconds BatchDelay{100};
+  /// Results that nobody waits for may wait this long for others before they
+  /// are written; see listing_pace.
+  milliseconds BatchDelay{250};
   /// A run without an event for this long is taken for dead.
   milliseconds StallTimeout{2000};
   /// Pause of a replica that refused an item.
@@ -92,6 +94,9 @@
   /// is false for a job that this scheduler does not have.
   void read(const job_call &Call,
             std::function<void(bool Known, std::string Page)> Done);
+  /// Nothing for an item that is not of a job of this scheduler.
+  [[nodiscard]] std::optional<std::string>
+  itemBody(std::string_view JobId, std::string_view ItemId) const;
   /// Runs what can run now; to be called when replicas have changed.
   void scheduleSoon();
   /// Items that run on the replica.
@@ -111,8 +116,10 @@
   struct job_state;
   struct reader;
 
-  void loadResults(const std::shared_ptr<job_state> &Job);
-  void onLoaded(const std::shared_ptr<job_state> &Job);
+  std::unique_ptr<result_writer>
+  makeWriter(const std::shared_ptr<job_state> &Job);
+  [[nodiscard]] listing_pace makePace(const job_state &Job) const;
+  void onLoaded(job_state &Job);
   void takeImported(item_state &Item);
   void markSpareGroups(job_state &Job);
   void schedule();
@@ -128,12 +135,7 @@
   void giveUp(item_state &Item, std::string_view Reason);
   void complete(item_state &Item, std::string Signature);
   void queueResult(item_state &Item, item_result Result);
-  void flushSoon(const std::shared_ptr<job_state> &Job);
-  void flush(const std::shared_ptr<job_state> &Job);
-  void write(const std::shared_ptr<job_state> &Job,
-             std::vector<item_result> Batch, const std::string &WriteId);
-  void onListed(const std::shared_ptr<job_state> &Job,
-                std::vector<item_result> Batch);
+  void onListed(job_state &Job, size_t Count);
   void dropListedItems(job_state &Job);
   void serveReaders(job_state &Job);
   std::string page(const job_state &Job, uint64_t After) const;
--- a/jobs/result_log.cpp
+++ b/jobs/result_log.cpp
@@ -28,6 +28,16 @@
   return {{"write_id", WriteId}, {"results", std::move(Results)}};
 }
 
+json result_log::encodeClosingBatch(std::string_view WriteId) {
+  json Batch = encodeBatch({}, WriteId);
+  Batch["closing"] = true;
+  return Batch;
+}
+
+bool result_log::isClosing(const json &Spec) {
+  return Spec.is_object() && Spec.contains("closing");
+}
+
 std::vector<item_result> result_log::decodeBatch(const json &Spec) {
   std::vector<item_result> Batch;
   try {
@@ -52,7 +62,14 @@
                                               : It->get<std::string>();
 }
 
+void result_log::close() {
+  Closed = true;
+  Queue.clear();
+  QueuedIds.clear();
+}
+
 void result_log::append(std::vector<item_result> Batch) {
+  CARDAMOM_INVARIANT(!Closed, "a closed sequence of results stays as it is");
   ++Batches;
   for (item_result &Result : Batch) {
     const bool New = ListedIds.insert(Result.ItemId).second;
--- a/jobs/result_log.h
+++ b/jobs/result_log.h
@@ -10,7 +10,9 @@
 /// A batch is created under a name that holds its place in the sequence, and
 /// never changed. Of two writers that know of the same batches only one can
 /// create the next, so positions are the same for all readers, whoever writes.
-/// Pure; queue() and append() cost O(log results) a result.
+/// An ended job gets a closing batch, after which none may be created, so that
+/// whoever has read it knows all results. Pure; queue() and append() cost O(log
+/// results) a result.
 
 #ifndef CARDAMOM_JOBS_RESULT_LOG_H
 #define CARDAMOM_JOBS_RESULT_LOG_H
@@ -36,6 +38,9 @@
   /// WriteId tells the writer's own batch from another's after a lost answer.
   static nlohmann::json encodeBatch(std::span<const item_result> Batch,
                                     std::string_view WriteId);
+  /// The batch that closes the sequence.
+  static nlohmann::json encodeClosingBatch(std::string_view WriteId);
+  static bool isClosing(const nlohmann::json &Spec);
   /// Throws std::invalid_argument for an object of another form.
   static std::vector<item_result> decodeBatch(const nlohmann::json &Spec);
   static std::string writeIdOf(const nlohmann::json &Spec);
@@ -43,6 +48,9 @@
   /// Lists the next batch. Results that wait in the queue for the same items
   /// are dropped.
   void append(std::vector<item_result> Batch);
+  /// The closing batch exists; nothing can be appended from now on.
+  void close();
+  [[nodiscard]] bool closed() const { return Closed; }
   /// Adds a result to be listed; ignored when its item is listed or queued.
   void queue(item_result Result);
   /// Results for the next batch, at most about MaxBytes (at least one).
@@ -62,6 +70,7 @@
 private:
   std::string JobId;
   size_t Batches = 0;
+  bool Closed = false;
   std::vector<item_result> Listed;
   std::deque<item_result> Queue;
   std::set<std::string, std::less<>> ListedIds;
--- /dev/null
+++ b/jobs/result_writer.cpp
@@ -0,0 +1,217 @@
+#include "jobs/result_writer.h"
+
+#include "base/log.h"
+#include "http/event_loop.h"
+#include "store/object_link.h"
+
+#include <algorithm>
+#include <chrono>
+
+namespace cardamom {
+
+/// Pause before a write that the store has not acknowledged is repeated.
+static constexpr milliseconds WriteRetryPause{50};
+
+result_writer::result_writer(result_writer_options Options, std::string JobId)
+    : Options(std::move(Options)), JobId(JobId), Log(std::move(JobId)) {}
+
+result_writer::~result_writer() = default;
+
+void result_writer::start(bool HasBatches) {
+  if (HasBatches) {
+    load();
+    return;
+  }
+  Ready = true;
+  next();
+}
+
+/// Reads the batches there are by trying to create the next, empty one. The
+/// empty batch at the end keeps a predecessor that is still at work, unaware of
+/// its loss, from listing anything that this writer does not know.
+void result_writer::load() {
+  Options.Link.call(
+      {.Op = object_op::Create,
+       .Kind = Options.ResultKind,
+       .Name = result_log::batchName(JobId, Log.batches()),
+       .Value = result_log::encodeBatch({}, Options.NewId())},
+      [this, Weak = std::weak_ptr<bool>(Alive)](const object_reply &Reply) {
+        if (Weak.expired())
+          return;
+        if (Reply.Outcome == object_outcome::Done) {
+          Log.append({});
+        } else if (Reply.Outcome == object_outcome::Conflict &&
+                   !Reply.Objects.empty()) {
+          take(Reply.Objects.front().Spec);
+          if (Weak.expired())
+            return;
+          if (!Log.closed()) {
+            load();
+            return;
+          }
+        } else {
+          retry([this] { load(); });
+          return;
+        }
+        Ready = true;
+        Options.OnReady();
+        if (!Weak.expired())
+          next();
+      });
+}
+
+void result_writer::queue(item_result Result, milliseconds MayWait) {
+  if (Closing || Log.closed())
+    return;
+  Log.queue(std::move(Result));
+  const time_point By = event_loop::now() + MayWait;
+  if (FlushBy && *FlushBy <= By)
+    return;
+  FlushBy = By;
+  armFlush();
+}
+
+void result_writer::armFlush() {
+  if (Writing || !Ready || !FlushBy)
+    return;
+  const auto Delay =
+      std::chrono::ceil<milliseconds>(*FlushBy - event_loop::now());
+  FlushTimer = Options.Loop.after(std::max(Delay, milliseconds(0)), [this] {
+    FlushTimer.reset();
+    flush();
+  });
+}
+
+/// Writes what is due; called whenever no write is on its way.
+void result_writer::next() {
+  if (Log.closed())
+    return;
+  if (!Closing) {
+    armFlush();
+    return;
+  }
+  const std::string WriteId = Options.NewId();
+  write(std::make_shared<batch>(
+      batch{.Spec = result_log::encodeClosingBatch(WriteId),
+            .WriteId = WriteId,
+            .Results = {},
+            .Closes = true}));
+}
+
+void result_writer::flush() {
+  if (Writing || Closing || !Ready || Log.closed())
+    return;
+  std::vector<item_result> Results = Log.nextBatch(Options.MaxBatchBytes);
+  // What does not fit follows at once.
+  if (Results.size() == Log.queued())
+    FlushBy.reset();
+  if (Results.empty())
+    return;
+  const std::string WriteId = Options.NewId();
+  write(std::make_shared<batch>(
+      batch{.Spec = result_log::encodeBatch(Results, WriteId),
+            .WriteId = WriteId,
+            .Results = std::move(Results)}));
+}
+
+void result_writer::close() {
+  if (Closing || Log.closed())
+    return;
+  Closing = true;
+  FlushTimer.reset();
+  if (!Writing && Ready)
+    next();
+}
+
+void result_writer::write(const batch_ptr &Batch) {
+  Writing = true;
+  Options.Link.call({.Op = object_op::Create,
+                     .Kind = Options.ResultKind,
+                     .Name = result_log::batchName(JobId, Log.batches()),
+                     .Value = Batch->Spec},
+                    [this, Weak = std::weak_ptr<bool>(Alive),
+                     Batch](const object_reply &Reply) {
+                      if (Weak.expired())
+                        return;
+                      if (Reply.Outcome == object_outcome::Done) {
+                        finish(Batch);
+                        return;
+                      }
+                      if (Reply.Outcome == object_outcome::Conflict &&
+                          !Reply.Objects.empty()) {
+                        onConflict(Batch, Reply.Objects.front().Spec);
+                        return;
+                      }
+                      logState(
+                          "results_write_failed",
+                          {{"job", JobId},
+                           {"outcome", std::string(toString(Reply.Outcome))},
+                           {"detail", Reply.Detail}});
+                      retry([this, Batch] { write(Batch); });
+                    });
+}
+
+/// Either an earlier try of this write was done and its answer lost, or
+/// another process has written this batch.
+void result_writer::onConflict(const batch_ptr &Batch,
+                               const nlohmann::json &Found) {
+  if (result_log::writeIdOf(Found) == Batch->WriteId) {
+    finish(Batch);
+    return;
+  }
+  logState("results_of_other_writer", {{"job", JobId}});
+  const std::weak_ptr<bool> Weak = Alive;
+  take(Found);
+  if (Weak.expired())
+    return;
+  if (Log.closed() || Batch->Closes) {
+    Writing = false;
+    next();
+    return;
+  }
+  Options.ConfirmLease([this, Weak] {
+    if (Weak.expired())
+      return;
+    Writing = false;
+    next();
+  });
+}
+
+void result_writer::finish(const batch_ptr &Batch) {
+  Writing = false;
+  if (Batch->Closes) {
+    Log.close();
+    return;
+  }
+  const std::weak_ptr<bool> Weak = Alive;
+  const size_t Count = Batch->Results.size();
+  Log.append(std::move(Batch->Results));
+  Options.OnListed(Count);
+  if (!Weak.expired())
+    next();
+}
+
+void result_writer::take(const nlohmann::json &Spec) {
+  if (result_log::isClosing(Spec)) {
+    Log.close();
+    if (!Closing)
+      Options.OnClosedByOther();
+    return;
+  }
+  std::vector<item_result> Results = result_log::decodeBatch(Spec);
+  const size_t Count = Results.size();
+  Log.append(std::move(Results));
+  Options.OnListed(Count);
+}
+
+void result_writer::retry(std::function<void()> Task) {
+  RetryTimer =
+      Options.Loop.after(WriteRetryPause, [this, Task = std::move(Task)] {
+        Options.Link.whenReachable([Weak = std::weak_ptr<bool>(Alive), Task] {
+          if (!Weak.expired())
+            Task();
+        });
+      });
+}
+
+} // namespace cardamom
--- a/scripts/test.sh
+++ b/scripts/test.sh
@@ -14,6 +14,8 @@
 }
 
 mkdir -p build
+# Lets a clone in another folder use what an earlier one compiled.
+export CCACHE_BASEDIR=$PWD CCACHE_NOHASHDIR=1
 echo "== formatter"
 scripts/check-format.sh
 
--- a/server/gateway.cpp
+++ b/server/gateway.cpp
@@ -77,6 +77,7 @@
   void housekeeping();
   void handleInner(const exchange_ptr &Exchange);
   void innerResults(const exchange_ptr &Exchange, pool_role *Role);
+  static void innerItem(const exchange_ptr &Exchange, pool_role *Role);
   static void innerCheckpoint(const exchange_ptr &Exchange, pool_role *Role);
   static void innerHandover(const exchange_ptr &Exchange, pool_role *Role);
   void answerReady(const exchange_ptr &Exchange) const;
@@ -475,6 +476,8 @@
     Exchange->answer({.Status = Status, .Headers = {}, .Body = {}});
   } else if (Path == InnerResultsPath) {
     innerResults(Exchange, Role);
+  } else if (Path == InnerItemPath) {
+    innerItem(Exchange, Role);
   } else if (Path == InnerHandoverPath) {
     innerHandover(Exchange, Role);
   } else if (Path == InnerCheckpointPath) {
@@ -508,6 +511,17 @@
       });
 }
 
+void gateway::state::innerItem(const exchange_ptr &Exchange, pool_role *Role) {
+  const std::string &Target = Exchange->request().Target;
+  std::optional<std::string> Body;
+  if (Role && Role->scheduler())
+    Body = Role->scheduler()->itemBody(queryParameter(Target, "job"),
+                                       queryParameter(Target, "item"));
+  Exchange->answer({.Status = Body ? 200U : 404U,
+                    .Headers = {},
+                    .Body = std::move(Body).value_or(std::string())});
+}
+
 void gateway::state::innerCheckpoint(const exchange_ptr &Exchange,
                                      pool_role *Role) {
   if (Exchange->request().Method == "POST") {
