Put schedulers on gateways with much CPU; let one gateway ask for a free lease

Each takeover made 20 gateways write and read the lease. Ruled out: the engines (slots were free), the store (4 ms a call). Change: gateways write their cores into the store and rank each other by class of CPU, then by rendezvous hash (policy/fleet_rank). Delay before a takeover follows the rank. A small holder steps back when a larger gateway asks for it; a new holder tells the others, which need not read the lease. Only the first four ask every 300 ms.

--- a/cmd/cardamomd.cpp
+++ b/cmd/cardamomd.cpp
@@ -163,7 +163,8 @@
            },
        .LeaseLength = S.Lease,
        .DrainNotice = S.DrainNotice,
-       .StopTimeout = S.StopTimeout});
+       .StopTimeout = S.StopTimeout,
+       .Cores = S.Cores});
   Loop.onSignals({SIGTERM, SIGINT, SIGHUP}, [&](int Signal) {
     logState("signal", {{"number", std::to_string(Signal)}});
     // Settings are flags and environment variables, which do not change
--- /dev/null
+++ b/gateway/fleet_view.cpp
@@ -0,0 +1,67 @@
+#include "gateway/fleet_view.h"
+
+#include "base/log.h"
+
+#include <algorithm>
+#include <nlohmann/json.hpp>
+
+namespace cardamom {
+
+fleet_view::fleet_view(fleet_member Self) : Self(Self) {
+  Members.push_back(std::move(Self));
+}
+
+nlohmann::json fleet_view::ownSpec() const {
+  return {{"address", Self.Address}, {"cores", Self.Cores}};
+}
+
+void fleet_view::update(const std::string &Name, const nlohmann::json &Spec) {
+  if (Name == Self.Name)
+    return;
+  remove(Name);
+  try {
+    Members.push_back({.Name = Name,
+                       .Address = Spec.at("address"),
+                       .Cores = Spec.at("cores")});
+  } catch (const nlohmann::json::exception &Error) {
+    logState("gateway_unreadable", {{"name", Name}, {"reason", Error.what()}});
+  }
+}
+
+void fleet_view::remove(std::string_view Name) {
+  if (Name == Self.Name)
+    return;
+  std::erase_if(
+      Members, [&](const fleet_member &Member) { return Member.Name == Name; });
+}
+
+size_t fleet_view::rank(std::string_view Duty) const {
+  const std::vector<const fleet_member *> Ranked = rankMembers(Members, Duty);
+  const auto It = std::find_if(
+      Ranked.begin(), Ranked.end(),
+      [&](const fleet_member *Member) { return Member->Name == Self.Name; });
+  return size_t(It - Ranked.begin());
+}
+
+std::vector<fleet_member> fleet_view::others(std::string_view Duty) const {
+  std::vector<fleet_member> Others;
+  for (const fleet_member *Member : rankMembers(Members, Duty))
+    // A predecessor of this process may have had another name.
+    if (Member->Name != Self.Name && Member->Address != Self.Address)
+      Others.push_back(*Member);
+  return Others;
+}
+
+bool fleet_view::isLarger(std::string_view Name) const {
+  double Largest = 0;
+  double Wanted = 0;
+  for (const fleet_member &Member : Members) {
+    Largest = std::max(Largest, Member.Cores);
+    if (Member.Name == Name)
+      Wanted = Member.Cores;
+  }
+  return Wanted > 0 &&
+         cpuClass(Wanted, Largest) < cpuClass(Self.Cores, Largest);
+}
+
+} // namespace cardamom
--- a/jobs/pool_role.cpp
+++ b/jobs/pool_role.cpp
@@ -6,6 +6,7 @@
 #include "http/http_client.h"
 #include "jobs/inner_paths.h"
 #include "jobs/job_document.h"
+#include "policy/fleet_rank.h"
 
 #include <stdexcept>
 
@@ -47,7 +48,8 @@
 
 bool pool_role::serving(time_point Now) const {
   const object_link &Link = Options.Scheduler.Link;
-  if (Released)
+  if (Released || (SteppedBackAt != time_point{} &&
+                   Now - SteppedBackAt < Options.StepBackTime))
     return false;
   const bool HasStore =
       Link.reachable() || Now - Link.lostAt() < Options.MaxStoreSilence;
@@ -65,7 +67,8 @@
 void pool_role::observe(const stored_object &Object) {
   const bool Held = Lease.holds();
   const std::string Former = Lease.record().Holder;
-  if (Object.Removed || Object.Spec.is_null())
+  LeaseAbsent = Object.Removed || Object.Spec.is_null();
+  if (LeaseAbsent)
     Lease.observeAbsent();
   else
     Lease.observe(decodeLease(Object), event_loop::now());
@@ -89,9 +92,11 @@
   AskTimer = Options.Scheduler.Loop.after(Options.AskInterval, [this] {
     const time_point Now = event_loop::now();
     const std::string Address = schedulerAddress();
+    const bool AskNow = isLikelySuccessor() || AskFailed > 0 ||
+                        Now - AskedAt >= Options.SlowAskInterval;
     if (Lease.holds())
       checkOwnLease(Now);
-    else if (!Address.empty())
+    else if (!Address.empty() && AskNow)
       ask(Address);
     else if (Lease.mayAcquire(false))
       acquireSoon();
@@ -99,6 +104,21 @@
   });
 }
 
+bool pool_role::isLikelySuccessor() const {
+  return Options.Rank() < Options.LikelySuccessors;
+}
+
+void pool_role::onCandidate(std::string_view Name) {
+  const time_point Now = event_loop::now();
+  const bool Recently = SteppedBackAt != time_point{} &&
+                        Now - SteppedBackAt < Options.StepBackInterval;
+  if (Name.empty() || Recently || Released ||
+      Now - StartedAt < Options.StartGrace || !Options.IsLarger(Name))
+    return;
+  logState("stepping_back", {{"pool", pool()}, {"for", std::string(Name)}});
+  SteppedBackAt = Now;
+}
+
 void pool_role::checkOwnLease(time_point Now) {
   const bool Paused = Now - TickedAt > Options.PauseLimit;
   if (Paused)
@@ -115,11 +135,15 @@
   if (Asking)
     return;
   Asking = true;
-  const http_request Question{.Method = "GET",
-                              .Target = std::string(InnerAlivePath) +
-                                        "?pool=" + percentEncode(pool()),
-                              .Headers = {{"Host", Address}},
-                              .Body = {}};
+  AskedAt = event_loop::now();
+  const bool Candidate =
+      !Released && Options.Scheduler.Link.reachable() && isLikelySuccessor();
+  const http_request Question{
+      .Method = "GET",
+      .Target = std::string(InnerAlivePath) + "?pool=" + percentEncode(pool()) +
+                (Candidate ? "&from=" + Options.Self : std::string()),
+      .Headers = {{"Host", Address}},
+      .Body = {}};
   AskCall = Options.Scheduler.Client.fetch(
       Address, Question, Options.AskTimeout,
       [this](const call_end &End, const http_response &Response) {
@@ -165,8 +189,9 @@
 void pool_role::acquireSoon() {
   if (AcquireTimer || Writing || Released)
     return;
-  const double Wait = Options.Random() * double(Options.AcquireSpread.count());
-  AcquireTimer = Options.Scheduler.Loop.after(milliseconds(long(Wait)), [this] {
+  const auto Wait = takeoverDelay(Options.Rank(), Options.Random()) +
+                    (LeaseAbsent ? Options.FirstAcquireDelay : milliseconds(0));
+  AcquireTimer = Options.Scheduler.Loop.after(Wait, [this] {
     AcquireTimer.reset();
     acquire();
   });
@@ -295,7 +320,34 @@
       });
 }
 
+void pool_role::learnLease(const json &Told) {
+  if (!Told.is_object() || !Told.contains("revision"))
+    throw std::invalid_argument("not a lease");
+  stored_object Object;
+  Object.Spec = Told;
+  Object.Revision = Told.value("revision", uint64_t(0));
+  if (Object.Revision > Lease.record().Revision)
+    observe(Object);
+}
+
+/// Saves the others a read of the lease. One that does not hear of it finds
+/// the former holder without the lease and reads it.
+void pool_role::tellOthers() {
+  Notices.clear();
+  for (const std::string &Address : Options.StandBys(pool())) {
+    const http_request Notice{.Method = "POST",
+                              .Target = std::string(InnerLeasePath) +
+                                        "?pool=" + percentEncode(pool()),
+                              .Headers = {{"Host", Address}},
+                              .Body = encodeLease(Lease.record()).dump()};
+    Notices.push_back(Options.Scheduler.Client.fetch(
+        Address, Notice, Options.AskTimeout,
+        [](const call_end & /*End*/, const http_response & /*Response*/) {}));
+  }
+}
+
 void pool_role::becomeScheduler(const std::string &PredecessorAddress) {
+  SteppedBackAt = {};
   AcquiredAtRevision = Lease.record().Revision;
   StartedAt = event_loop::now();
   AskFailed = 0;
@@ -462,6 +514,8 @@
 }
 
 void pool_role::startWatching() {
+  // Not before the predecessor has given its progress: the news ends it.
+  tellOthers();
   Checkpoint.clear();
   sendCheckpoint();
   JobWatcher = std::make_unique<object_watcher>(
--- a/jobs/pool_role.h
+++ b/jobs/pool_role.h
@@ -9,10 +9,11 @@
 ///   Role.release();              // on shutdown
 ///
 /// One gateway holds the pool's lease. The others ask it regularly whether it
-/// is alive and has the store; when it is not, one of them takes the lease over
-/// by a conditional write. Only the holder watches the lease, to learn at once
-/// of a successor whose questions it did not get; the others read it when there
-/// is reason to.
+/// is alive and has the store; when it is not, the best of them takes the lease
+/// over by a conditional write, and tells the others. A holder with little CPU
+/// steps back for a larger gateway. Only the holder watches the lease, to learn
+/// at once of a successor whose questions it did not get; the others read it
+/// when there is reason to.
 
 #ifndef CARDAMOM_JOBS_POOL_ROLE_H
 #define CARDAMOM_JOBS_POOL_ROLE_H
@@ -44,12 +45,20 @@
   std::string JobKind;
   /// Whether samples of the pool must come from one version of the weights.
   std::function<bool()> SingleVersion;
-  /// Inner addresses of other gateways, the same order for all of them.
+  /// Inner addresses of other gateways, best first, the same order for all.
   std::function<std::vector<std::string>(const std::string &Pool)> StandBys;
+  /// Place of this process among the gateways; 0 = best.
+  std::function<size_t()> Rank = [] { return size_t(0); };
+  /// Whether the gateway has clearly more CPU than this process.
+  std::function<bool(std::string_view Name)> IsLarger =
+      [](std::string_view /*Name*/) { return false; };
   /// Uniform random number in [0, 1).
   std::function<double()> Random;
-  /// Pause between two questions to the holder.
+  /// Pause between two questions to the holder: of those likely to take the
+  /// lease over, and of the others.
   milliseconds AskInterval{300};
+  milliseconds SlowAskInterval{1200};
+  size_t LikelySuccessors = 4;
   milliseconds AskTimeout{400};
   /// Questions in a row without an answer before the holder is taken for
   /// down.
@@ -71,9 +80,12 @@
   /// A process that finds its timers this late was paused, and reads its
   /// lease before it goes on.
   milliseconds PauseLimit{1000};
-  /// Those who want the lease wait up to this long at random, so that one
-  /// write usually decides.
-  milliseconds AcquireSpread{400};
+  /// Where nobody has held the lease before, gateways have just started and
+  /// have to learn of one another.
+  milliseconds FirstAcquireDelay{2500};
+  /// A holder steps back for this long, and at most once in the interval.
+  milliseconds StepBackTime{1500};
+  milliseconds StepBackInterval{10000};
 };
 
 class pool_role {
@@ -106,6 +118,10 @@
     Checkpoint = std::move(Progress);
   }
   [[nodiscard]] const std::string &checkpoint() const { return Checkpoint; }
+  /// A gateway that has the store has asked whether this one serves.
+  void onCandidate(std::string_view Name);
+  /// Another gateway has told of its lease. Throws std::invalid_argument.
+  void learnLease(const nlohmann::json &Told);
   void replicasChanged();
   [[nodiscard]] const std::string &pool() const {
     return Options.Scheduler.Pool;
@@ -124,6 +140,8 @@
   void reread();
   void confirmLease(std::function<void()> Go);
   void watchLease();
+  [[nodiscard]] bool isLikelySuccessor() const;
+  void tellOthers();
   void becomeScheduler(const std::string &PredecessorAddress);
   void askForHandover(const std::string &Address);
   void askForCheckpoint(std::vector<std::string> Addresses);
@@ -140,6 +158,10 @@
   bool Rereading = false;
   time_point TickedAt{};
   time_point StartedAt{};
+  time_point AskedAt{};
+  time_point SteppedBackAt{};
+  /// Nobody has held the lease yet.
+  bool LeaseAbsent = false;
   bool Writing = false;
   bool Released = false;
   unsigned AskFailed = 0;
@@ -151,6 +173,7 @@
   std::unique_ptr<object_watcher> LeaseWatcher;
   std::shared_ptr<client_call_state> AskCall;
   std::shared_ptr<client_call_state> HandoverCall;
+  std::vector<std::shared_ptr<client_call_state>> Notices;
   std::shared_ptr<client_call_state> CheckpointCall;
   std::shared_ptr<timer_state> CheckpointTimer;
   std::string Checkpoint;
--- a/server/gateway.cpp
+++ b/server/gateway.cpp
@@ -2,6 +2,7 @@
 
 #include "base/log.h"
 #include "base/metrics.h"
+#include "gateway/fleet_view.h"
 #include "gateway/plain_caller.h"
 #include "gateway/stream_caller.h"
 #include "http/event_loop.h"
@@ -10,7 +11,6 @@
 #include "jobs/inner_paths.h"
 #include "jobs/job_desk.h"
 #include "jobs/pool_role.h"
-#include "policy/rendezvous.h"
 #include "policy/router.h"
 #include "server/caller_front.h"
 #include "store/object_watcher.h"
@@ -67,7 +67,7 @@
   void registerSelf();
   void onGateway(const stored_object &Object);
   std::vector<std::string> peers();
-  std::vector<std::string> standBys(const std::string &Pool);
+  std::vector<std::string> standBys(const std::string &Pool) const;
   void onRetirement(const stored_object &Object);
   std::optional<replica> readReplica(const stored_object &Object);
   [[nodiscard]] std::optional<time_point> mayReturnUntil() const;
@@ -77,6 +77,7 @@
   void housekeeping();
   void handleInner(const exchange_ptr &Exchange);
   void innerResults(const exchange_ptr &Exchange, pool_role *Role);
+  static void innerLease(const exchange_ptr &Exchange, pool_role *Role);
   static void innerItem(const exchange_ptr &Exchange, pool_role *Role);
   static void innerCheckpoint(const exchange_ptr &Exchange, pool_role *Role);
   static void innerHandover(const exchange_ptr &Exchange, pool_role *Role);
@@ -91,6 +92,7 @@
   gateway_options Options;
   std::mt19937_64 Generator{std::random_device{}()};
   std::string Incarnation;
+  fleet_view Fleet;
   object_link Link;
   replica_directory Directory;
   router Router;
@@ -101,8 +103,6 @@
   std::vector<std::unique_ptr<object_watcher>> Watchers;
   object_watcher *ReplicaWatcher = nullptr;
   std::map<std::string, std::unique_ptr<pool_role>> Pools;
-  /// Inner addresses by name.
-  std::map<std::string, std::string> Gateways;
   std::unique_ptr<http_server> CallerServer;
   std::unique_ptr<http_server> ReadyServer;
   std::unique_ptr<http_server> InnerServer;
@@ -118,7 +118,9 @@
 gateway::state::state(event_loop &Loop, http_client &Client,
                       gateway_options Given)
     : Loop(Loop), Client(Client), Options(std::move(Given)),
-      Incarnation(newId()),
+      Incarnation(newId()), Fleet({.Name = Options.Name,
+                                   .Address = Options.InnerListen,
+                                   .Cores = Options.Cores}),
       Link(Loop, {.Send = Options.SendToStore,
                   .Probe = {.Op = object_op::Get,
                             .Kind = Options.Protocols.Objects.ConfigKind,
@@ -302,7 +304,7 @@
   const object_request Request{.Op = object_op::Create,
                                .Kind = std::string(GatewayKind),
                                .Name = Options.Name,
-                               .Value = {{"address", Options.InnerListen}}};
+                               .Value = Fleet.ownSpec()};
   Link.call(Request, [this, Request](const object_reply &Reply) {
     if (Reply.Outcome == object_outcome::Done)
       return;
@@ -320,33 +322,25 @@
 }
 
 void gateway::state::onGateway(const stored_object &Object) {
-  if (Object.Removed || !Object.Spec.is_object())
-    Gateways.erase(Object.Name);
+  if (Object.Removed)
+    Fleet.remove(Object.Name);
   else
-    Gateways[Object.Name] = Object.Spec.value("address", "");
+    Fleet.update(Object.Name, Object.Spec);
 }
 
 /// Inner addresses of the other gateways, in random order.
 std::vector<std::string> gateway::state::peers() {
-  std::vector<std::string> Addresses;
-  for (const auto &[Name, Address] : Gateways)
-    if (Address != Options.InnerListen && !Address.empty())
-      Addresses.push_back(Address);
+  std::vector<std::string> Addresses = standBys({});
   std::shuffle(Addresses.begin(), Addresses.end(), Generator);
   return Addresses;
 }
 
-/// Inner addresses of the other gateways, best first by rendezvous hashing.
-std::vector<std::string> gateway::state::standBys(const std::string &Pool) {
-  std::vector<std::pair<uint64_t, std::string>> Ranked;
-  for (const auto &[Name, Address] : Gateways)
-    if (Address != Options.InnerListen && !Address.empty())
-      Ranked.emplace_back(rendezvousScore(Pool, Name), Address);
-  std::sort(Ranked.rbegin(), Ranked.rend());
+/// Inner addresses of the other gateways, best first.
+std::vector<std::string>
+gateway::state::standBys(const std::string &Pool) const {
   std::vector<std::string> Addresses;
-  Addresses.reserve(Ranked.size());
-  for (auto &[Score, Address] : Ranked)
-    Addresses.push_back(std::move(Address));
+  for (const fleet_member &Member : Fleet.others(Pool))
+    Addresses.push_back(Member.Address);
   return Addresses;
 }
 
@@ -401,6 +395,9 @@
                                });
           },
       .StandBys = [this](const std::string &Pool) { return standBys(Pool); },
+      .Rank = [this, Name] { return Fleet.rank(Name); },
+      .IsLarger =
+          [this](std::string_view Member) { return Fleet.isLarger(Member); },
       .Random = [this] { return random(); }});
 }
 
@@ -471,11 +468,15 @@
   pool_role *Role = findPool(queryParameter(Target, "pool"));
   if (Path == InnerAlivePath) {
     unsigned Status = 404;
-    if (Role && Role->holds())
+    if (Role && Role->holds()) {
       Status = Role->serving(event_loop::now()) ? 200 : 503;
+      Role->onCandidate(queryParameter(Target, "from"));
+    }
     Exchange->answer({.Status = Status, .Headers = {}, .Body = {}});
   } else if (Path == InnerResultsPath) {
     innerResults(Exchange, Role);
+  } else if (Path == InnerLeasePath) {
+    innerLease(Exchange, Role);
   } else if (Path == InnerItemPath) {
     innerItem(Exchange, Role);
   } else if (Path == InnerHandoverPath) {
@@ -511,6 +512,17 @@
       });
 }
 
+void gateway::state::innerLease(const exchange_ptr &Exchange, pool_role *Role) {
+  try {
+    if (Role)
+      Role->learnLease(nlohmann::json::parse(Exchange->request().Body, nullptr,
+                                             /*allow_exceptions=*/false));
+    Exchange->answer({.Status = 200, .Headers = {}, .Body = {}});
+  } catch (const std::invalid_argument &Error) {
+    Exchange->answer({.Status = 400, .Headers = {}, .Body = Error.what()});
+  }
+}
+
 void gateway::state::innerItem(const exchange_ptr &Exchange, pool_role *Role) {
   const std::string &Target = Exchange->request().Target;
   std::optional<std::string> Body;
--- a/server/gateway.h
+++ b/server/gateway.h
@@ -38,6 +38,8 @@
   milliseconds DrainNotice{3000};
   /// Longest time from stop() to the end.
   milliseconds StopTimeout{7500};
+  /// Cores that the process may use.
+  double Cores = 1;
 };
 
 class gateway {
--- a/settings/daemon_settings.cpp
+++ b/settings/daemon_settings.cpp
@@ -118,7 +118,8 @@
       {"straggler_moves", Settings.StragglerMoves},
       {"ready_listen", Settings.ReadyListen},
       {"metrics_listen", Settings.MetricsListen},
-      {"stop_timeout_ms", Settings.StopTimeout.count()}};
+      {"stop_timeout_ms", Settings.StopTimeout.count()},
+      {"cores", Settings.Cores}};
   return Json.dump(IndentSpaces, ' ', false,
                    nlohmann::json::error_handler_t::replace);
 }
--- a/settings/daemon_settings.h
+++ b/settings/daemon_settings.h
@@ -73,6 +73,9 @@
   std::string MetricsListen;
   /// Gateway only: longest time from SIGTERM to the end of the process.
   milliseconds StopTimeout{7500};
+  /// Gateway only: cores that this process may use. Duties of the whole fleet
+  /// go to gateways with many.
+  double Cores = 1;
   /// Bound on the moves of one slow sample; 0 leaves each where it started.
   unsigned StragglerMoves = 2;
 };
--- a/settings/setting_reader.cpp
+++ b/settings/setting_reader.cpp
@@ -3,6 +3,8 @@
 #include "base/identifier.h"
 
 #include <algorithm>
+#include <array>
+#include <charconv>
 #include <filesystem>
 
 namespace cardamom {
@@ -23,6 +25,7 @@
 // A body and its envelope must fit one inner frame of 1 MiB.
 constexpr uint64_t MaxBodyKib = 960;
 constexpr uint64_t MaxStragglerMoves = 10;
+constexpr double MaxCores = 1024;
 constexpr uint64_t MaxPort = 65535;
 constexpr size_t MaxSeedPeers = 16;
 constexpr size_t BytesPerKib = 1024;
@@ -96,6 +99,7 @@
   Settings.StopTimeout = milliseconds(
       number(setting_id::StopTimeoutMs,
              {.Unit = "milliseconds", .Min = 0, .Max = MaxStopTimeoutMs}));
+  Settings.Cores = cores();
 }
 
 void setting_reader::readAgent(daemon_settings &Settings) {
@@ -202,6 +206,17 @@
   return Folder;
 }
 
+double setting_reader::cores() {
+  const std::string &Text = text(setting_id::Cores);
+  double Value = 0;
+  const auto [End, Error] =
+      std::from_chars(Text.data(), Text.data() + Text.size(), Value);
+  const bool Whole = Error == std::errc() && End == Text.data() + Text.size();
+  if (!Whole || !(Value > 0 && Value <= MaxCores))
+    refuse(setting_id::Cores, "a number above 0, at most 1024, such as 0.25");
+  return Value;
+}
+
 uint64_t setting_reader::number(setting_id Id, const number_range &Range) {
   const auto Value = parseWholeNumber(text(Id));
   if (Value && *Value >= Range.Min && *Value <= Range.Max)
--- a/settings/setting_reader.h
+++ b/settings/setting_reader.h
@@ -53,6 +53,7 @@
   std::vector<std::string> addressList(setting_id Id);
   std::string logLevel();
   std::string dataDir();
+  double cores();
   uint64_t number(setting_id Id, const number_range &Range);
 
   const setting_texts &Texts;
--- a/settings/setting_table.cpp
+++ b/settings/setting_table.cpp
@@ -44,6 +44,8 @@
      "IP:port of metrics, besides the inner address (gateway)"},
     {setting_id::StopTimeoutMs, "stop-timeout-ms", "7500",
      "ms from SIGTERM to the end of the process at most (gateway)"},
+    {setting_id::Cores, "cores", "1",
+     "cores that this process may use, such as 0.25 (gateway)"},
 }};
 
 std::span<const setting_spec> settingTable() { return Table; }
--- a/settings/setting_table.h
+++ b/settings/setting_table.h
@@ -33,6 +33,7 @@
   ReadyListen,
   MetricsListen,
   StopTimeoutMs,
+  Cores,
   Count
 };
 
