--- a/cmd/cardamomd.cpp
+++ b/cmd/cardamomd.cpp
@@ -164,7 +164,8 @@
        .LeaseLength = S.Lease,
        .DrainNotice = S.DrainNotice,
        .StopTimeout = S.StopTimeout,
-       .Cores = S.Cores});
+       .Cores = S.Cores,
+       .LeaveBound = S.LeaveBound});
   Loop.onSignals({SIGTERM, SIGINT, SIGHUP}, [&](int Signal) {
     logState("signal", {{"number", std::to_string(Signal)}});
     // Settings are flags and environment variables, which do not change
--- a/jobs/pool_role.cpp
+++ b/jobs/pool_role.cpp
@@ -8,12 +8,16 @@
 #include "jobs/job_document.h"
 #include "policy/fleet_rank.h"
 
+#include <algorithm>
 #include <stdexcept>
 
 namespace cardamom {
 
 using nlohmann::json;
 
+/// Checkpoints go to one of this many stand-bys, the best ones.
+static constexpr size_t CheckpointStandBys = 3;
+
 static json encodeLease(const pool_lease_record &Record) {
   return {{"holder", Record.Holder},
           {"incarnation", Record.Incarnation},
@@ -424,13 +428,12 @@
 
 /// The predecessor is gone: what it has sent to its stand-by is all there is.
 void pool_role::askForCheckpoint(std::vector<std::string> Addresses) {
-  // The first is this process's choice; the predecessor's may be the second,
-  // because each leaves itself out.
-  static constexpr size_t MaxStandBys = 2;
   if (!Checkpoint.empty() && takeProgress(Checkpoint, "own checkpoint"))
     Addresses.clear();
-  if (Addresses.size() > MaxStandBys)
-    Addresses.resize(MaxStandBys);
+  // The predecessor used one of these, or this process, because each leaves
+  // itself out.
+  if (Addresses.size() > CheckpointStandBys)
+    Addresses.resize(CheckpointStandBys);
   if (Addresses.empty()) {
     startWatching();
     return;
@@ -485,15 +488,20 @@
   if (Document == Checkpoint)
     return;
   Checkpoint = Document;
+  const std::string &Address =
+      StandBys[StandBy % std::min(StandBys.size(), CheckpointStandBys)];
   const http_request Notice{.Method = "POST",
                             .Target = std::string(InnerCheckpointPath) +
                                       "?pool=" + percentEncode(pool()),
-                            .Headers = {{"Host", StandBys.front()}},
+                            .Headers = {{"Host", Address}},
                             .Body = std::move(Document)};
-  // A checkpoint that is lost is replaced by the next.
+  // A checkpoint that is lost is replaced by the next, elsewhere.
   CheckpointCall = Options.Scheduler.Client.fetch(
-      StandBys.front(), Notice, Options.CheckpointInterval,
-      [](const call_end & /*End*/, const http_response & /*Response*/) {});
+      Address, Notice, Options.CheckpointInterval,
+      [this](const call_end &End, const http_response & /*Response*/) {
+        if (End.Result != call_result::Complete)
+          ++StandBy;
+      });
 }
 
 json pool_role::handOver(const json &SuccessorLease) {
--- a/jobs/pool_role.h
+++ b/jobs/pool_role.h
@@ -177,6 +177,8 @@
   std::shared_ptr<client_call_state> CheckpointCall;
   std::shared_ptr<timer_state> CheckpointTimer;
   std::string Checkpoint;
+  /// Which stand-by gets the checkpoints.
+  size_t StandBy = 0;
   std::shared_ptr<timer_state> AskTimer;
   std::shared_ptr<timer_state> AcquireTimer;
   std::shared_ptr<bool> Alive = std::make_shared<bool>(true);
--- a/server/gateway.cpp
+++ b/server/gateway.cpp
@@ -29,9 +29,9 @@
 static constexpr std::string_view LeaseKind = "pool-leases";
 static constexpr std::string_view GatewayKind = "gateways";
 /// Each change of a list costs one call for each gateway that watches it, and
-/// replicas change with each load of weights. The pace is well under the time
-/// within which a leaving replica must get no more work (2 s).
-static constexpr milliseconds ReplicaPace{800};
+/// replicas change with each load of weights. Changes of replicas are read in
+/// this part of the time within which a leaving one must get no more work.
+static constexpr double ReplicaPaceShare = 0.5;
 /// Well under the time within which a configuration must be in force (2 s).
 static constexpr milliseconds ConfigPace{300};
 /// Gateways only look for one another after a failure.
@@ -46,7 +46,9 @@
 /// Idle connections of callers are closed this long after their last answer
 /// once a stopping process is out of rotation.
 static constexpr milliseconds DrainIdleTime{250};
-/// Gateways answer a retirement after a random pause, so that mostly one does.
+/// A few gateways watch for retirements, and answer after a random pause, so
+/// that mostly one does.
+static constexpr size_t RetirementWatchers = 3;
 static constexpr milliseconds RetirementSpread{400};
 
 static uint64_t unixNowMs() {
@@ -59,8 +61,9 @@
   state(event_loop &Loop, http_client &Client, gateway_options Given);
 
   void start();
-  void watch(std::string Kind, milliseconds Pace,
-             const std::function<void(const stored_object &)> &Each);
+  std::unique_ptr<object_watcher>
+  makeWatcher(std::string Kind, milliseconds Pace,
+              const std::function<void(const stored_object &)> &Each);
   void onStore(bool Reachable, const std::string &Detail);
   void watchReplicas();
   void onConfig(const stored_object &Object);
@@ -68,6 +71,7 @@
   void onGateway(const stored_object &Object);
   std::vector<std::string> peers();
   std::vector<std::string> standBys(const std::string &Pool) const;
+  void watchRetirements();
   void onRetirement(const stored_object &Object);
   std::optional<replica> readReplica(const stored_object &Object);
   [[nodiscard]] std::optional<time_point> mayReturnUntil() const;
@@ -102,6 +106,7 @@
   caller_front Front;
   std::vector<std::unique_ptr<object_watcher>> Watchers;
   object_watcher *ReplicaWatcher = nullptr;
+  std::unique_ptr<object_watcher> RetirementWatcher;
   std::map<std::string, std::unique_ptr<pool_role>> Pools;
   std::unique_ptr<http_server> CallerServer;
   std::unique_ptr<http_server> ReadyServer;
@@ -199,21 +204,21 @@
                                     handleInner(E);
                                   }});
   const platform_objects &Objects = Options.Protocols.Objects;
-  watch(Objects.ConfigKind, ConfigPace,
-        [this](const stored_object &Object) { onConfig(Object); });
+  Watchers.push_back(
+      makeWatcher(Objects.ConfigKind, ConfigPace,
+                  [this](const stored_object &Object) { onConfig(Object); }));
   watchReplicas();
-  watch(std::string(GatewayKind), GatewayPace,
-        [this](const stored_object &Object) { onGateway(Object); });
+  Watchers.push_back(
+      makeWatcher(std::string(GatewayKind), GatewayPace,
+                  [this](const stored_object &Object) { onGateway(Object); }));
   registerSelf();
-  watch(Objects.RetirementKind, milliseconds(0),
-        [this](const stored_object &Object) { onRetirement(Object); });
   housekeeping();
 }
 
-void gateway::state::watch(
+std::unique_ptr<object_watcher> gateway::state::makeWatcher(
     std::string Kind, milliseconds Pace,
     const std::function<void(const stored_object &)> &Each) {
-  Watchers.push_back(std::make_unique<object_watcher>(
+  auto Watcher = std::make_unique<object_watcher>(
       Loop, Link,
       object_watcher_options{.Kind = std::move(Kind),
                              .OnSnapshot =
@@ -222,8 +227,9 @@
                                      Each(Object);
                                  },
                              .OnChange = Each,
-                             .Pace = Pace}));
-  Watchers.back()->start();
+                             .Pace = Pace});
+  Watcher->start();
+  return Watcher;
 }
 
 void gateway::state::onStore(bool Reachable, const std::string &Detail) {
@@ -280,7 +286,8 @@
                 for (const auto &[Name, Pool] : Pools)
                   Pool->replicasChanged();
               },
-          .Pace = ReplicaPace}));
+          .Pace = milliseconds(
+              long(ReplicaPaceShare * double(Options.LeaveBound.count())))}));
   ReplicaWatcher = Watchers.back().get();
   ReplicaWatcher->start();
 }
@@ -406,6 +413,23 @@
   return It == Pools.end() ? nullptr : It->second.get();
 }
 
+void gateway::state::watchRetirements() {
+  const std::string &Kind = Options.Protocols.Objects.RetirementKind;
+  // The best may be gone for good, but every pool has a live holder.
+  const bool Holder =
+      std::any_of(Pools.begin(), Pools.end(),
+                  [](const auto &Pool) { return Pool.second->holds(); });
+  if (!Holder && Fleet.rank(Kind) >= RetirementWatchers) {
+    RetirementWatcher.reset();
+    return;
+  }
+  if (!RetirementWatcher)
+    RetirementWatcher =
+        makeWatcher(Kind, milliseconds(0), [this](const stored_object &Object) {
+          onRetirement(Object);
+        });
+}
+
 /// Nothing of the system lies on a storage VM's disk, so that one may be taken
 /// away at once.
 void gateway::state::onRetirement(const stored_object &Object) {
@@ -437,6 +461,7 @@
 void gateway::state::housekeeping() {
   HousekeepingTimer = Loop.after(HousekeepingInterval, [this] {
     Directory.expire(event_loop::now());
+    watchRetirements();
     metrics::get().gauge("store_calls").set(Link.calls());
     metrics::get()
         .gauge("upstream_connections_opened")
--- a/server/gateway.h
+++ b/server/gateway.h
@@ -40,6 +40,8 @@
   milliseconds StopTimeout{7500};
   /// Cores that the process may use.
   double Cores = 1;
+  /// Time within which a leaving replica gets no more work.
+  milliseconds LeaveBound{2000};
 };
 
 class gateway {
--- a/settings/daemon_settings.cpp
+++ b/settings/daemon_settings.cpp
@@ -119,7 +119,8 @@
       {"ready_listen", Settings.ReadyListen},
       {"metrics_listen", Settings.MetricsListen},
       {"stop_timeout_ms", Settings.StopTimeout.count()},
-      {"cores", Settings.Cores}};
+      {"cores", Settings.Cores},
+      {"leave_bound_ms", Settings.LeaveBound.count()}};
   return Json.dump(IndentSpaces, ' ', false,
                    nlohmann::json::error_handler_t::replace);
 }
--- a/settings/daemon_settings.h
+++ b/settings/daemon_settings.h
@@ -76,6 +76,8 @@
   /// Gateway only: cores that this process may use. Duties of the whole fleet
   /// go to gateways with many.
   double Cores = 1;
+  /// Gateway only: time within which a leaving replica gets no more work.
+  milliseconds LeaveBound{2000};
   /// Bound on the moves of one slow sample; 0 leaves each where it started.
   unsigned StragglerMoves = 2;
 };
--- a/settings/daemon_settings_test.cpp
+++ b/settings/daemon_settings_test.cpp
@@ -126,17 +126,20 @@
     CPPUNIT_ASSERT_EQUAL(2, parse(Gateway).ExitCode);
     const parse_result Good =
         parse(Gateway, {"--ready-listen=127.0.0.1:4", "--stop-timeout-ms=9000",
-                        "--cores=0.068"});
+                        "--cores=0.068", "--leave-bound-ms=3000"});
     CPPUNIT_ASSERT_MESSAGE(Good.Text, Good.Run);
     CPPUNIT_ASSERT(Good.Settings.Role == daemon_role::Gateway);
     CPPUNIT_ASSERT(Good.Settings.StopTimeout == milliseconds(9000));
     CPPUNIT_ASSERT_EQUAL(0.068, Good.Settings.Cores);
-    for (const char *Bad : {"--cores=0", "--cores=x", "--cores=1x",
-                            "--cores=nan", "--cores=2000"}) {
+    CPPUNIT_ASSERT(Good.Settings.LeaveBound == milliseconds(3000));
+    for (const char *Bad :
+         {"--cores=0", "--cores=x", "--cores=1x", "--cores=nan", "--cores=2000",
+          "--leave-bound-ms=1"}) {
       const parse_result Refused =
           parse(Gateway, {"--ready-listen=127.0.0.1:4", Bad});
       CPPUNIT_ASSERT_EQUAL(2, Refused.ExitCode);
-      CPPUNIT_ASSERT(Refused.Text.find("--cores") != std::string::npos);
+      const std::string Flag(Bad, std::string_view(Bad).find('='));
+      CPPUNIT_ASSERT(Refused.Text.find(Flag) != std::string::npos);
     }
     CPPUNIT_ASSERT_EQUAL(2, parse(Gateway, {"--ready-listen=here"}).ExitCode);
     CPPUNIT_ASSERT(parse({"--role=reserve", "--name=s", "--failure-domain=z",
--- a/settings/setting_reader.cpp
+++ b/settings/setting_reader.cpp
@@ -18,6 +18,9 @@
 constexpr uint64_t MinPoolLeaseMs = 1000;
 constexpr uint64_t MaxLeaseMs = 60000;
 constexpr uint64_t MaxStopTimeoutMs = 600000;
+/// Replicas are watched every half of it.
+constexpr uint64_t MinLeaveBoundMs = 200;
+constexpr uint64_t MaxLeaveBoundMs = 60000;
 constexpr uint64_t MinHttpThreads = 4;
 constexpr uint64_t MaxHttpThreads = 1024;
 constexpr uint64_t MaxRetainedMib = 1024;
@@ -100,6 +103,10 @@
       number(setting_id::StopTimeoutMs,
              {.Unit = "milliseconds", .Min = 0, .Max = MaxStopTimeoutMs}));
   Settings.Cores = cores();
+  Settings.LeaveBound =
+      milliseconds(number(setting_id::LeaveBoundMs, {.Unit = "milliseconds",
+                                                     .Min = MinLeaveBoundMs,
+                                                     .Max = MaxLeaveBoundMs}));
 }
 
 void setting_reader::readAgent(daemon_settings &Settings) {
--- a/settings/setting_table.cpp
+++ b/settings/setting_table.cpp
@@ -46,6 +46,8 @@
      "ms from SIGTERM to the end of the process at most (gateway)"},
     {setting_id::Cores, "cores", "1",
      "cores that this process may use, such as 0.25 (gateway)"},
+    {setting_id::LeaveBoundMs, "leave-bound-ms", "2000",
+     "ms within which a leaving replica gets no more work (gateway)"},
 }};
 
 std::span<const setting_spec> settingTable() { return Table; }
--- a/settings/setting_table.h
+++ b/settings/setting_table.h
@@ -34,6 +34,7 @@
   MetricsListen,
   StopTimeoutMs,
   Cores,
+  LeaveBoundMs,
   Count
 };
 
