Keep the progress of a stopped scheduler for its successor; take results of the same job only

Change: a released scheduler goes on until there is a successor, one that has lost its lease keeps its progress for 3 s; results are taken for the same job only. Texts of items that an ended job left unfinished are kept, and used when their groups return and the versions fit.

--- a/jobs/inner_paths.h
+++ b/jobs/inner_paths.h
@@ -8,9 +8,9 @@
 
 namespace cardamom {
 
-/// GET ?pool=P&from=NAME: 200 while the process schedules the jobs of the pool, 503 when
-/// it holds the lease but cannot serve, 404 when it does not hold the lease.
-/// "from" names an asker that could take the pool over.
+/// GET ?pool=P&from=NAME: 200 while the process schedules the jobs of the pool,
+/// 503 when it holds the lease but cannot serve, 404 when it does not hold the
+/// lease. "from" names an asker that could take the pool over.
 inline constexpr std::string_view InnerAlivePath = "/inner/alive";
 /// POST ?pool=P, body: the lease that the caller has taken.
 inline constexpr std::string_view InnerLeasePath = "/inner/lease";
--- a/jobs/job_scheduler.cpp
+++ b/jobs/job_scheduler.cpp
@@ -37,6 +37,9 @@
 static constexpr double OverrunShare = 0.3;
 /// A run is not moved before it has shown some speed.
 static constexpr milliseconds MinRunBeforeMove{300};
+/// Texts of ended jobs that are kept in case their items return: those of some
+/// steps of several trainers.
+static constexpr size_t MaxKeptTexts = 400;
 /// Wall clocks of two VMs may differ by about this much.
 static constexpr uint64_t ClockSlackMs = 500;
 
@@ -209,26 +212,32 @@
   scheduleSoon();
 }
 
+bool job_scheduler::hasProgress(const item_state &Item) {
+  return Item.Phase != item_phase::Done && Item.Text.LastEvent.has_value();
+}
+
+nlohmann::json job_scheduler::progressOf(const item_state &Item) {
+  const item_text &Text = Item.Text;
+  return {{"job", Item.Job->Job.Id},       {"text", Text.Text},
+          {"last_event", *Text.LastEvent}, {"events", Text.Events},
+          {"versions", Text.Versions},     {"failures", Item.Failures},
+          {"complete", Item.TextComplete}};
+}
+
 nlohmann::json job_scheduler::exportProgress(milliseconds MinAge) const {
   const time_point Now = event_loop::now();
   nlohmann::json Progress = nlohmann::json::object();
   for (const auto &[Id, Job] : Jobs) {
     if (Job->Ended)
       continue;
-    for (const item_result &Result : Job->log().waiting())
-      Progress[Result.ItemId] = result_log::encodeBatch({&Result, 1}, {});
+    for (const item_result &Result : Job->log().waiting()) {
+      nlohmann::json &Entry = Progress[Result.ItemId];
+      Entry = result_log::encodeBatch({&Result, 1}, {});
+      Entry["job"] = Id;
+    }
     for (const auto &Item : Job->Items) {
-      const item_text &Text = Item->Text;
-      if (Item->Phase == item_phase::Done || Text.Events == 0 ||
-          !Text.LastEvent || Now - Item->FirstStartedAt < MinAge)
-        continue;
-      Progress[Item->Item->Id] = {
-          {"text", Text.Text},
-          {"last_event", *Text.LastEvent},
-          {"events", Text.Events},
-          {"versions", Text.Versions},
-          {"failures", Item->Failures},
-          {"complete", Item->Phase == item_phase::Scoring}};
+      if (hasProgress(*Item) && Now - Item->FirstStartedAt >= MinAge)
+        Progress[Item->Item->Id] = progressOf(*Item);
     }
   }
   return Progress;
@@ -253,7 +262,12 @@
   if (Item.Phase != item_phase::Waiting || Item.Text.Events > 0)
     return;
   try {
+    // An item may return in a later job, with another scoring call and newer
+    // versions; of an earlier one only the text can be of use.
+    const bool SameJob = Entry.at("job") == Item.Job->Job.Id;
     if (Entry.contains("results")) {
+      if (!SameJob)
+        return;
       for (item_result &Result : result_log::decodeBatch(Entry))
         queueResult(Item, std::move(Result));
       return;
@@ -262,7 +276,7 @@
                  .LastEvent = Entry.at("last_event").get<uint64_t>(),
                  .Events = Entry.at("events"),
                  .Versions = Entry.at("versions")};
-    Item.Failures = Entry.at("failures");
+    Item.Failures = SameJob ? Entry.at("failures").get<unsigned>() : 0;
     Item.TextComplete = Entry.at("complete");
   } catch (const std::exception &Error) {
     logState("progress_unreadable",
@@ -749,6 +763,7 @@
     if (Item->Run)
       ++Stopped;
     stopRun(*Item);
+    keepForLaterJob(*Item);
     Item->Scoring.reset();
     Item->Retry.reset();
     Item->Phase = item_phase::Done;
@@ -763,6 +778,20 @@
   scheduleSoon();
 }
 
+/// Groups that were not complete may return in a later job, and go on from
+/// their text there if its versions are new enough.
+void job_scheduler::keepForLaterJob(const item_state &Item) {
+  if (!hasProgress(Item))
+    return;
+  const std::string &Id = Item.Item->Id;
+  Imported[Id] = progressOf(Item);
+  KeptTexts.push_back(Id);
+  if (KeptTexts.size() <= MaxKeptTexts)
+    return;
+  Imported.erase(KeptTexts.front());
+  KeptTexts.pop_front();
+}
+
 void job_scheduler::read(const job_call &Call,
                          std::function<void(bool, std::string)> Done) {
   const auto It = Jobs.find(Call.JobId);
--- a/jobs/job_scheduler.h
+++ b/jobs/job_scheduler.h
@@ -19,6 +19,7 @@
 #include "gateway/protocols.h"
 #include "policy/item_placement.h"
 
+#include <deque>
 #include <functional>
 #include <map>
 #include <memory>
@@ -121,6 +122,9 @@
   [[nodiscard]] listing_pace makePace(const job_state &Job) const;
   void onLoaded(job_state &Job);
   void takeImported(item_state &Item);
+  [[nodiscard]] static bool hasProgress(const item_state &Item);
+  [[nodiscard]] static nlohmann::json progressOf(const item_state &Item);
+  void keepForLaterJob(const item_state &Item);
   void markSpareGroups(job_state &Job);
   void schedule();
   void moveSlowItems(time_point Now);
@@ -162,8 +166,11 @@
   std::map<std::string, unsigned, std::less<>> Running;
   std::map<std::string, time_point, std::less<>> RefusedUntil;
   double MeanTokens;
-  /// Items of a predecessor, by id, until their jobs are added.
+  /// Items of a predecessor or of ended jobs, by id, until jobs with them are
+  /// added.
   std::map<std::string, nlohmann::json, std::less<>> Imported;
+  /// Items of ended jobs in Imported, oldest first.
+  std::deque<std::string> KeptTexts;
   bool SchedulePending = false;
   std::shared_ptr<timer_state> TickTimer;
   std::shared_ptr<bool> Alive = std::make_shared<bool>(true);
--- a/jobs/pool_role.cpp
+++ b/jobs/pool_role.cpp
@@ -69,7 +69,6 @@
 }
 
 void pool_role::observe(const stored_object &Object) {
-  const bool Held = Lease.holds();
   const std::string Former = Lease.record().Holder;
   LeaseAbsent = Object.Removed || Object.Spec.is_null();
   if (LeaseAbsent)
@@ -85,7 +84,9 @@
               {"token", std::to_string(Lease.record().Token)},
               {"revision", std::to_string(Lease.record().Revision)}});
   }
-  if (Held && !Lease.holds())
+  // After a release the jobs go on until there is a successor.
+  const bool WithoutSuccessor = Released && Lease.record().Holder.empty();
+  if (Scheduler && !Lease.holds() && !WithoutSuccessor)
     stepDown("another process holds the lease");
   if (Lease.mayAcquire(HolderDown))
     acquireSoon();
@@ -351,6 +352,7 @@
 }
 
 void pool_role::becomeScheduler(const std::string &PredecessorAddress) {
+  dropLastProgress();
   SteppedBackAt = {};
   AcquiredAtRevision = Lease.record().Revision;
   StartedAt = event_loop::now();
@@ -510,14 +512,17 @@
   if (!SuccessorLease.is_object() || !SuccessorLease.contains("revision"))
     throw std::invalid_argument("not a lease");
   Object.Revision = SuccessorLease.value("revision", uint64_t(0));
-  if (Object.Revision <= Lease.record().Revision)
-    throw std::invalid_argument("the lease is not newer");
-  json Progress = Scheduler ? Scheduler->exportProgress() : json::object();
+  if (Object.Revision < Lease.record().Revision)
+    throw std::invalid_argument("the lease is older than one seen before");
+  json Progress =
+      Scheduler ? Scheduler->exportProgress() : std::move(LastProgress);
+  dropLastProgress();
   logState("handover_given", {{"pool", pool()},
                               {"to", SuccessorLease.value("holder", "")},
                               {"items", std::to_string(Progress.size())}});
   observe(Object);
   stepDown("handed over");
+  dropLastProgress();
   return Progress;
 }
 
@@ -565,10 +570,19 @@
   WeightWatcher->start();
 }
 
+void pool_role::dropLastProgress() {
+  LastProgress = json::object();
+  LastProgressTimer.reset();
+}
+
 void pool_role::stepDown(std::string_view Reason) {
   if (!Scheduler)
     return;
   CheckpointTimer.reset();
+  // The news of a successor may be here before its question.
+  LastProgress = Scheduler->exportProgress();
+  LastProgressTimer = Options.Scheduler.Loop.after(
+      Options.KeepProgress, [this] { dropLastProgress(); });
   logState("scheduler_stopped",
            {{"pool", pool()}, {"reason", std::string(Reason)}});
   // Reached from hooks of the objects that are given up.
--- a/jobs/pool_role.h
+++ b/jobs/pool_role.h
@@ -75,6 +75,8 @@
   milliseconds CheckpointMinAge{1000};
   /// After an outage a holder gets this long to say that it serves again.
   milliseconds OutageGrace{1200};
+  /// A scheduler that has stopped keeps its progress for this long.
+  milliseconds KeepProgress{3000};
   /// Time within which a new scheduler has read its jobs.
   milliseconds StartGrace{3000};
   /// A process that finds its timers this late was paused, and reads its
@@ -149,6 +151,7 @@
   void sendCheckpoint();
   void startWatching();
   void stepDown(std::string_view Reason);
+  void dropLastProgress();
   void onJob(const stored_object &Object, bool Listed);
 
   pool_role_options Options;
@@ -176,6 +179,10 @@
   std::vector<std::shared_ptr<client_call_state>> Notices;
   std::shared_ptr<client_call_state> CheckpointCall;
   std::shared_ptr<timer_state> CheckpointTimer;
+  /// Progress at the end of this process's scheduler, until a successor has
+  /// asked for it.
+  nlohmann::json LastProgress = nlohmann::json::object();
+  std::shared_ptr<timer_state> LastProgressTimer;
   std::string Checkpoint;
   /// Which stand-by gets the checkpoints.
   size_t StandBy = 0;
