--- a/cmd/cardamomd.cpp
+++ b/cmd/cardamomd.cpp
@@ -45,6 +45,14 @@
   return Set;
 }
 
+/// Handles what came since the start, and what comes, on the loop.
+void takeSignals(event_loop &Loop, std::function<void(int)> Task) {
+  Loop.onSignals({SIGTERM, SIGINT, SIGHUP}, std::move(Task));
+  sigset_t Set = stopSignals();
+  sigaddset(&Set, SIGHUP);
+  pthread_sigmask(SIG_UNBLOCK, &Set, nullptr);
+}
+
 /// Waits for SIGTERM or SIGINT on a thread of its own. Both must be blocked in
 /// every thread.
 class stop_signal {
@@ -166,7 +174,7 @@
        .StopTimeout = S.StopTimeout,
        .Cores = S.Cores,
        .LeaveBound = S.LeaveBound});
-  Loop.onSignals({SIGTERM, SIGINT, SIGHUP}, [&](int Signal) {
+  takeSignals(Loop, [&](int Signal) {
     logState("signal", {{"number", std::to_string(Signal)}});
     // Settings are flags and environment variables, which do not change
     // while the process runs.
@@ -181,7 +189,7 @@
 
 int runReserve() {
   event_loop Loop;
-  Loop.onSignals({SIGTERM, SIGINT, SIGHUP}, [&](int Signal) {
+  takeSignals(Loop, [&](int Signal) {
     logState("signal", {{"number", std::to_string(Signal)}});
     if (Signal != SIGHUP)
       Loop.stop();
@@ -207,11 +215,10 @@
 
 int run(const daemon_settings &Settings) {
   std::signal(SIGPIPE, SIG_IGN);
-  const bool HasSignalThread = Settings.Role == daemon_role::Entry ||
-                               Settings.Role == daemon_role::Agent;
-  const sigset_t Set = stopSignals();
-  if (HasSignalThread)
-    pthread_sigmask(SIG_BLOCK, &Set, nullptr);
+  // A signal that comes before the role can handle it must not end the process.
+  sigset_t Set = stopSignals();
+  sigaddset(&Set, SIGHUP);
+  pthread_sigmask(SIG_BLOCK, &Set, nullptr);
   // Starts the log's writer, which must inherit the mask.
   initLog(Settings.Name, Settings.LogLevel);
   try {
--- a/process_tests/whole_path_test.py
+++ b/process_tests/whole_path_test.py
@@ -2,7 +2,9 @@
 
 import http.client
 import json
+import signal
 import subprocess
+import time
 import unittest
 
 from processes import BUILD, Cluster, http_call, http_json, metric
@@ -49,6 +51,15 @@
                                    {"model": "notes", "prompt": "seal the attic", "max_tokens": 40})
         self.assertEqual((200, expected), (status, answer["choices"][0]["text"]))
 
+    def test_hangup_signal_ends_nothing(self):
+        """Guards against a change of the settings that ends an entry or an agent."""
+        processes = [entry["process"] for entry in self.cluster.entries]
+        processes += [upstream.agent for upstream in self.cluster.upstreams]
+        for process in processes:
+            process.signal(signal.SIGHUP)
+        time.sleep(0.3)
+        self.assertEqual([], [process.name for process in processes if not process.alive()])
+
     def test_deposits_run_once(self):
         """Guards against lost or doubled deposits without any fault."""
         callers = DepositCallers(self.cluster.entries, "plain", deposits_each=10).start().join()
