Keep checkpoints of schedulers on the VMs with disks

Besides, a successor took the empty progress of a predecessor that had started again, and asked nobody else. Ruled out: recovery time (the pool is scheduled again 0.8 s after power is back); longer outages of the store. Change: role reserve keeps the newest checkpoint of each pool in memory and in a synced file; schedulers send it there as to a stand-by; a successor that got nothing asks stand-bys, then keepers. A keeper holds nothing that must last.

--- a/cmd/cardamomd.cpp
+++ b/cmd/cardamomd.cpp
@@ -12,10 +12,12 @@
 #include "entry/entry.h"
 #include "http/event_loop.h"
 #include "http/http_client.h"
+#include "jobs/checkpoint_keeper.h"
 #include "platform/protocols.h"
 #include "platform/store_calls.h"
 #include "server/gateway.h"
 #include "settings/daemon_settings.h"
+#include "store/object_link.h"
 
 #include <atomic>
 #include <csignal>
@@ -187,14 +189,36 @@
   return 0;
 }
 
-int runReserve() {
+int runReserve(const daemon_settings &S) {
   event_loop Loop;
+  http_client Client(Loop, {});
+  platform::store_calls Store(Client, S.Store, StoreCallTimeout);
+  object_link Link(
+      Loop, {.Send =
+                 [&Store](const object_request &Request, object_callback Done) {
+                   Store.send(Request, std::move(Done));
+                 },
+             .Probe = {.Op = object_op::Get,
+                       .Kind = std::string(KeeperKind),
+                       .Name = S.Name},
+             .OnChange =
+                 [](bool Reachable, const std::string &Detail) {
+                   logState(Reachable ? "store_back" : "store_lost",
+                            {{"detail", Detail}});
+                 }});
+  checkpoint_keeper Keeper(Loop, Link,
+                           {.Name = S.Name,
+                            .FailureDomain = S.FailureDomain,
+                            .Listen = S.InnerListen,
+                            .DataDir = S.DataDir});
   takeSignals(Loop, [&](int Signal) {
     logState("signal", {{"number", std::to_string(Signal)}});
     if (Signal != SIGHUP)
       Loop.stop();
   });
-  logState("started");
+  if (!S.InnerListen.empty())
+    Keeper.start();
+  logState("started", {{"inner", S.InnerListen}, {"data_dir", S.DataDir}});
   Loop.run();
   return 0;
 }
@@ -210,7 +234,7 @@
   case daemon_role::Reserve:
     break;
   }
-  return runReserve();
+  return runReserve(Settings);
 }
 
 int run(const daemon_settings &Settings) {
--- /dev/null
+++ b/jobs/checkpoint_keeper.cpp
@@ -0,0 +1,128 @@
+#include "jobs/checkpoint_keeper.h"
+
+#include "base/log.h"
+#include "http/event_loop.h"
+#include "http/http_server.h"
+#include "jobs/inner_paths.h"
+#include "store/own_object.h"
+
+#include <cerrno>
+#include <cstring>
+#include <fcntl.h>
+#include <fstream>
+#include <iterator>
+#include <system_error>
+#include <unistd.h>
+
+namespace cardamom {
+
+namespace {
+
+/// Closes the descriptor at the end of its scope.
+class descriptor {
+public:
+  descriptor(const std::filesystem::path &Path, int Flags)
+      : Number(::open(Path.c_str(), Flags | O_CLOEXEC, 0644)) {
+    check(Number >= 0, Path);
+  }
+  ~descriptor() { ::close(Number); }
+  descriptor(const descriptor &) = delete;
+  descriptor &operator=(const descriptor &) = delete;
+
+  static void check(bool Good, const std::filesystem::path &Path) {
+    if (!Good)
+      throw std::system_error(errno, std::generic_category(), Path.string());
+  }
+
+  const int Number;
+};
+
+} // namespace
+
+/// Throws std::system_error that names the file.
+static void writeSynced(const std::filesystem::path &Path,
+                        std::string_view Data) {
+  const descriptor File(Path, O_WRONLY | O_CREAT | O_TRUNC);
+  while (!Data.empty()) {
+    const ssize_t Written = ::write(File.Number, Data.data(), Data.size());
+    descriptor::check(Written >= 0 || errno == EINTR, Path);
+    if (Written > 0)
+      Data.remove_prefix(size_t(Written));
+  }
+  descriptor::check(::fdatasync(File.Number) == 0, Path);
+}
+
+checkpoint_keeper::checkpoint_keeper(event_loop &Loop, object_link &Link,
+                                     checkpoint_keeper_options Options)
+    : Loop(Loop), Link(Link), Options(std::move(Options)) {}
+
+checkpoint_keeper::~checkpoint_keeper() = default;
+
+void checkpoint_keeper::start() {
+  Server = std::make_unique<http_server>(
+      Loop, http_server_options{
+                .Listen = Options.Listen,
+                .OnRequest = [this](const exchange_ptr &E) { handle(E); }});
+  writeOwnObject(Link, {.Op = object_op::Create,
+                        .Kind = std::string(KeeperKind),
+                        .Name = Options.Name,
+                        .Value = {{"address", Options.Listen},
+                                  {"failure_domain", Options.FailureDomain}}});
+}
+
+void checkpoint_keeper::handle(const exchange_ptr &Exchange) {
+  const std::string &Target = Exchange->request().Target;
+  const std::string Pool = queryParameter(Target, "pool");
+  if (pathOf(Target) != InnerCheckpointPath || Pool.empty()) {
+    Exchange->answer({.Status = 404, .Headers = {}, .Body = {}});
+    return;
+  }
+  if (Exchange->request().Method == "POST") {
+    keep(Pool, Exchange->request().Body);
+    Exchange->answer({.Status = 200, .Headers = {}, .Body = {}});
+    return;
+  }
+  const std::string Progress = find(Pool);
+  Exchange->answer({.Status = Progress.empty() ? 404U : 200U,
+                    .Headers = {{"Content-Type", "application/json"}},
+                    .Body = Progress});
+}
+
+std::filesystem::path checkpoint_keeper::fileOf(const std::string &Pool) const {
+  return Options.DataDir / ("checkpoint-" + percentEncode(Pool));
+}
+
+void checkpoint_keeper::keep(const std::string &Pool, std::string Progress) {
+  std::string &Entry = Kept[Pool];
+  Entry = std::move(Progress);
+  if (Options.DataDir.empty())
+    return;
+  const std::filesystem::path File = fileOf(Pool);
+  const std::filesystem::path New = File.string() + ".new";
+  try {
+    writeSynced(New, Entry);
+    std::filesystem::rename(New, File);
+    const descriptor Folder(Options.DataDir, O_RDONLY | O_DIRECTORY);
+    descriptor::check(::fsync(Folder.Number) == 0, Options.DataDir);
+  } catch (const std::system_error &Error) {
+    // It stays in memory; a full disk is no reason to refuse it.
+    logState("checkpoint_not_written",
+             {{"pool", Pool}, {"reason", Error.what()}});
+  }
+}
+
+std::string checkpoint_keeper::find(const std::string &Pool) {
+  if (const auto It = Kept.find(Pool); It != Kept.end())
+    return It->second;
+  if (Options.DataDir.empty())
+    return {};
+  std::ifstream File(fileOf(Pool), std::ios::binary);
+  if (!File)
+    return {};
+  std::string Progress((std::istreambuf_iterator<char>(File)), {});
+  logState("checkpoint_read",
+           {{"pool", Pool}, {"bytes", std::to_string(Progress.size())}});
+  return Progress;
+}
+
+} // namespace cardamom
--- a/jobs/pool_role.cpp
+++ b/jobs/pool_role.cpp
@@ -4,9 +4,11 @@
 #include "base/metrics.h"
 #include "http/event_loop.h"
 #include "http/http_client.h"
+#include "jobs/checkpoint_keeper.h"
 #include "jobs/inner_paths.h"
 #include "jobs/job_document.h"
 #include "policy/fleet_rank.h"
+#include "policy/rendezvous.h"
 
 #include <algorithm>
 #include <stdexcept>
@@ -15,8 +17,10 @@
 
 using nlohmann::json;
 
-/// Checkpoints go to one of this many stand-bys, the best ones.
+/// Checkpoints go to one of this many stand-bys, the best ones, and to one of
+/// this many keepers.
 static constexpr size_t CheckpointStandBys = 3;
+static constexpr size_t CheckpointKeepers = 3;
 
 static json encodeLease(const pool_lease_record &Record) {
   return {{"holder", Record.Holder},
@@ -352,6 +356,7 @@
 }
 
 void pool_role::becomeScheduler(const std::string &PredecessorAddress) {
+  KeepersAsked = false;
   dropLastProgress();
   SteppedBackAt = {};
   AcquiredAtRevision = Lease.record().Revision;
@@ -396,7 +401,7 @@
   if (PredecessorAddress.empty())
     startWatching();
   else if (PredecessorAddress == Options.InnerAddress)
-    askForCheckpoint(Options.StandBys(pool()));
+    askForCheckpoint(standBysWithCheckpoint());
   else
     askForHandover(PredecessorAddress);
 }
@@ -412,34 +417,46 @@
       [this](const call_end &End, const http_response &Response) {
         if (!Scheduler)
           return;
-        const bool Given = End.Result == call_result::Complete &&
-                           Response.Status == 200 &&
-                           takeProgress(Response.Body, "predecessor");
-        if (Given) {
+        const bool Stopped =
+            End.Result == call_result::Complete && Response.Status == 200;
+        if (Stopped)
           Lease.predecessorStopped(event_loop::now());
+        else
+          logState("handover_failed",
+                   {{"pool", pool()},
+                    {"result", std::string(toString(End.Result))},
+                    {"status", std::to_string(Response.Status)}});
+        // One that has started again since then knows nothing.
+        if (Stopped && takeProgress(Response.Body, "predecessor") > 0)
           startWatching();
-          return;
-        }
-        logState("handover_failed",
-                 {{"pool", pool()},
-                  {"result", std::string(toString(End.Result))},
-                  {"status", std::to_string(Response.Status)}});
-        askForCheckpoint(Options.StandBys(pool()));
+        else
+          askForCheckpoint(standBysWithCheckpoint());
       });
 }
 
-/// The predecessor is gone: what it has sent to its stand-by is all there is.
-void pool_role::askForCheckpoint(std::vector<std::string> Addresses) {
-  if (!Checkpoint.empty() && takeProgress(Checkpoint, "own checkpoint"))
-    Addresses.clear();
-  // The predecessor used one of these, or this process, because each leaves
-  // itself out.
+/// The predecessor used one of these, or this process, because each leaves
+/// itself out.
+std::vector<std::string> pool_role::standBysWithCheckpoint() const {
+  std::vector<std::string> Addresses = Options.StandBys(pool());
   if (Addresses.size() > CheckpointStandBys)
     Addresses.resize(CheckpointStandBys);
-  if (Addresses.empty()) {
+  return Addresses;
+}
+
+/// The predecessor is gone: what it has sent to its stand-by and to a keeper
+/// is all there is.
+void pool_role::askForCheckpoint(std::vector<std::string> Addresses) {
+  if (!Checkpoint.empty() && takeProgress(Checkpoint, "own checkpoint") > 0) {
     startWatching();
     return;
   }
+  if (Addresses.empty()) {
+    if (KeepersAsked)
+      startWatching();
+    else
+      findKeepers();
+    return;
+  }
   const std::string Address = Addresses.front();
   Addresses.erase(Addresses.begin());
   const http_request Question{.Method = "GET",
@@ -454,15 +471,40 @@
         if (!Scheduler)
           return;
         if (End.Result == call_result::Complete && Response.Status == 200 &&
-            takeProgress(Response.Body, Address))
+            takeProgress(Response.Body, Address) > 0)
           startWatching();
         else
           askForCheckpoint(Addresses);
       });
 }
 
-bool pool_role::takeProgress(std::string_view Document,
-                             std::string_view Source) {
+/// All gateways may have lost power; keepers have a disk.
+void pool_role::findKeepers() {
+  KeepersAsked = true;
+  Options.Scheduler.Link.call(
+      {.Op = object_op::List, .Kind = std::string(KeeperKind)},
+      [this, Weak = std::weak_ptr<bool>(Alive)](const object_reply &Reply) {
+        if (Weak.expired() || !Scheduler)
+          return;
+        std::vector<std::pair<uint64_t, std::string>> Ranked;
+        for (const stored_object &Object : Reply.Objects)
+          if (Object.Spec.is_object())
+            Ranked.emplace_back(rendezvousScore(pool(), Object.Name),
+                                Object.Spec.value("address", ""));
+        std::sort(Ranked.rbegin(), Ranked.rend());
+        Keepers.clear();
+        for (const auto &[Score, Address] : Ranked)
+          if (Keepers.size() < CheckpointKeepers && !Address.empty())
+            Keepers.push_back(Address);
+        if (!JobWatcher)
+          askForCheckpoint(Keepers);
+        // Looked for again with the next checkpoint.
+        KeepersAsked = Reply.Outcome == object_outcome::Done;
+      });
+}
+
+size_t pool_role::takeProgress(std::string_view Document,
+                               std::string_view Source) {
   try {
     const json Progress =
         json::parse(Document, nullptr, /*allow_exceptions=*/false);
@@ -470,39 +512,50 @@
     logState("progress_taken", {{"pool", pool()},
                                 {"from", std::string(Source)},
                                 {"items", std::to_string(Progress.size())}});
-    return true;
+    return Progress.size();
   } catch (const std::invalid_argument &Error) {
     logState("progress_unreadable",
              {{"pool", pool()}, {"reason", Error.what()}});
-    return false;
+    return 0;
   }
 }
 
 void pool_role::sendCheckpoint() {
   CheckpointTimer = Options.Scheduler.Loop.after(Options.CheckpointInterval,
                                                  [this] { sendCheckpoint(); });
-  const std::vector<std::string> StandBys = Options.StandBys(pool());
-  if (!Scheduler || StandBys.empty())
+  const std::vector<std::string> StandBys = standBysWithCheckpoint();
+  if (!Scheduler)
     return;
+  if (!KeepersAsked && Options.Scheduler.Link.reachable())
+    findKeepers();
   const json Progress = Scheduler->exportProgress(Options.CheckpointMinAge);
   std::string Document =
       Progress.dump(-1, ' ', false, json::error_handler_t::replace);
   if (Document == Checkpoint)
     return;
   Checkpoint = Document;
-  const std::string &Address =
-      StandBys[StandBy % std::min(StandBys.size(), CheckpointStandBys)];
+  if (!StandBys.empty())
+    CheckpointCall = sendCheckpointTo(StandBys[StandBy % StandBys.size()],
+                                      Document, StandBy);
+  if (!Keepers.empty())
+    KeeperCall =
+        sendCheckpointTo(Keepers[Keeper % Keepers.size()], Document, Keeper);
+}
+
+/// A checkpoint that is lost is replaced by the next, which goes elsewhere.
+std::shared_ptr<client_call_state>
+pool_role::sendCheckpointTo(const std::string &Address,
+                            const std::string &Document, size_t &Index) {
   const http_request Notice{.Method = "POST",
                             .Target = std::string(InnerCheckpointPath) +
                                       "?pool=" + percentEncode(pool()),
                             .Headers = {{"Host", Address}},
-                            .Body = std::move(Document)};
-  // A checkpoint that is lost is replaced by the next, elsewhere.
-  CheckpointCall = Options.Scheduler.Client.fetch(
+                            .Body = Document};
+  return Options.Scheduler.Client.fetch(
       Address, Notice, Options.CheckpointInterval,
-      [this](const call_end &End, const http_response & /*Response*/) {
+      [&Index](const call_end &End, const http_response & /*Response*/) {
         if (End.Result != call_result::Complete)
-          ++StandBy;
+          ++Index;
       });
 }
 
--- a/jobs/pool_role.h
+++ b/jobs/pool_role.h
@@ -146,9 +146,15 @@
   void tellOthers();
   void becomeScheduler(const std::string &PredecessorAddress);
   void askForHandover(const std::string &Address);
+  [[nodiscard]] std::vector<std::string> standBysWithCheckpoint() const;
   void askForCheckpoint(std::vector<std::string> Addresses);
-  bool takeProgress(std::string_view Document, std::string_view Source);
+  void findKeepers();
+  /// Number of items taken.
+  size_t takeProgress(std::string_view Document, std::string_view Source);
   void sendCheckpoint();
+  std::shared_ptr<client_call_state>
+  sendCheckpointTo(const std::string &Address, const std::string &Document,
+                   size_t &Index);
   void startWatching();
   void stepDown(std::string_view Reason);
   void dropLastProgress();
@@ -178,14 +184,19 @@
   std::shared_ptr<client_call_state> HandoverCall;
   std::vector<std::shared_ptr<client_call_state>> Notices;
   std::shared_ptr<client_call_state> CheckpointCall;
+  std::shared_ptr<client_call_state> KeeperCall;
   std::shared_ptr<timer_state> CheckpointTimer;
   /// Progress at the end of this process's scheduler, until a successor has
   /// asked for it.
   nlohmann::json LastProgress = nlohmann::json::object();
   std::shared_ptr<timer_state> LastProgressTimer;
   std::string Checkpoint;
-  /// Which stand-by gets the checkpoints.
+  /// Inner addresses of checkpoint_keepers that this scheduler uses.
+  std::vector<std::string> Keepers;
+  bool KeepersAsked = false;
+  /// Which stand-by and which keeper get the checkpoints.
   size_t StandBy = 0;
+  size_t Keeper = 0;
   std::shared_ptr<timer_state> AskTimer;
   std::shared_ptr<timer_state> AcquireTimer;
   std::shared_ptr<bool> Alive = std::make_shared<bool>(true);
--- a/server/gateway.cpp
+++ b/server/gateway.cpp
@@ -14,6 +14,7 @@
 #include "policy/router.h"
 #include "server/caller_front.h"
 #include "store/object_watcher.h"
+#include "store/own_object.h"
 
 #include <algorithm>
 #include <chrono>
@@ -67,7 +68,6 @@
   void onStore(bool Reachable, const std::string &Detail);
   void watchReplicas();
   void onConfig(const stored_object &Object);
-  void registerSelf();
   void onGateway(const stored_object &Object);
   std::vector<std::string> peers();
   std::vector<std::string> standBys(const std::string &Pool) const;
@@ -211,7 +211,10 @@
   Watchers.push_back(
       makeWatcher(std::string(GatewayKind), GatewayPace,
                   [this](const stored_object &Object) { onGateway(Object); }));
-  registerSelf();
+  writeOwnObject(Link, {.Op = object_op::Create,
+                        .Kind = std::string(GatewayKind),
+                        .Name = Options.Name,
+                        .Value = Fleet.ownSpec()});
   housekeeping();
 }
 
@@ -306,28 +309,6 @@
   }
 }
 
-/// Tells the other gateways where this one is.
-void gateway::state::registerSelf() {
-  const object_request Request{.Op = object_op::Create,
-                               .Kind = std::string(GatewayKind),
-                               .Name = Options.Name,
-                               .Value = Fleet.ownSpec()};
-  Link.call(Request, [this, Request](const object_reply &Reply) {
-    if (Reply.Outcome == object_outcome::Done)
-      return;
-    if (Reply.Outcome == object_outcome::Conflict) {
-      object_request Change = Request;
-      Change.Op = object_op::Replace;
-      const bool Same =
-          !Reply.Objects.empty() && Reply.Objects.front().Spec == Request.Value;
-      if (!Same)
-        Link.call(Change, [](const object_reply & /*Reply*/) {});
-      return;
-    }
-    Link.whenReachable([this] { registerSelf(); });
-  });
-}
-
 void gateway::state::onGateway(const stored_object &Object) {
   if (Object.Removed)
     Fleet.remove(Object.Name);
--- a/settings/daemon_settings_test.cpp
+++ b/settings/daemon_settings_test.cpp
@@ -131,6 +131,14 @@
     CPPUNIT_ASSERT(Good.Settings.Role == daemon_role::Gateway);
     CPPUNIT_ASSERT(Good.Settings.StopTimeout == milliseconds(9000));
     CPPUNIT_ASSERT_EQUAL(0.068, Good.Settings.Cores);
+    const std::vector<std::string> Reserve = {
+        "--role=reserve", "--name=vm-1", "--failure-domain=z", "--region=r"};
+    CPPUNIT_ASSERT(parse(Reserve, {}).Run);
+    CPPUNIT_ASSERT_EQUAL(
+        2, parse(Reserve, {"--inner-listen=127.0.0.1:4"}).ExitCode);
+    CPPUNIT_ASSERT(parse(Reserve, {"--inner-listen=127.0.0.1:4",
+                                   "--store=127.0.0.1:5", "--data-dir=/tmp"})
+                       .Run);
     CPPUNIT_ASSERT(Good.Settings.LeaveBound == milliseconds(3000));
     for (const char *Bad :
          {"--cores=0", "--cores=x", "--cores=1x", "--cores=nan", "--cores=2000",
--- a/settings/setting_reader.cpp
+++ b/settings/setting_reader.cpp
@@ -53,6 +53,7 @@
   readPlace(Settings);
   if (Settings.Role == daemon_role::Reserve) {
     Settings.LogLevel = logLevel();
+    readKeeper(Settings);
     return Settings;
   }
   readNetwork(Settings);
@@ -95,6 +96,15 @@
   Settings.SeedPeers = addressList(setting_id::SeedPeers);
 }
 
+/// A reserve with an inner address keeps checkpoints.
+void setting_reader::readKeeper(daemon_settings &Settings) {
+  if (text(setting_id::InnerListen).empty())
+    return;
+  Settings.InnerListen = address(setting_id::InnerListen);
+  Settings.Store = address(setting_id::Store);
+  Settings.DataDir = dataDir();
+}
+
 void setting_reader::readGateway(daemon_settings &Settings) {
   Settings.ReadyListen = address(setting_id::ReadyListen);
   if (!text(setting_id::MetricsListen).empty())
--- a/settings/setting_reader.h
+++ b/settings/setting_reader.h
@@ -43,6 +43,7 @@
   bool readRole(daemon_role &Role);
   void readPlace(daemon_settings &Settings);
   void readNetwork(daemon_settings &Settings);
+  void readKeeper(daemon_settings &Settings);
   void readGateway(daemon_settings &Settings);
   void readAgent(daemon_settings &Settings);
   void refuseAgentSettings();
