--- a/jobs/result_writer.cpp
+++ b/jobs/result_writer.cpp
@@ -108,10 +108,10 @@
   if (Results.empty())
     return;
   const std::string WriteId = Options.NewId();
-  write(std::make_shared<batch>(
-      batch{.Spec = result_log::encodeBatch(Results, WriteId),
-            .WriteId = WriteId,
-            .Results = std::move(Results)}));
+  nlohmann::json Spec = result_log::encodeBatch(Results, WriteId);
+  write(std::make_shared<batch>(batch{.Spec = std::move(Spec),
+                                      .WriteId = WriteId,
+                                      .Results = std::move(Results)}));
 }
 
 void result_writer::close() {
