--- a/cmd/cardamomd.cpp
+++ b/cmd/cardamomd.cpp
@@ -47,7 +47,7 @@
   return Set;
 }
 
-/// Handles what came since the start, and what comes, on the loop.
+/// Handles pending and later signals on the loop.
 void takeSignals(event_loop &Loop, std::function<void(int)> Task) {
   Loop.onSignals({SIGTERM, SIGINT, SIGHUP}, std::move(Task));
   sigset_t Set = stopSignals();
--- a/jobs/checkpoint_keeper.cpp
+++ b/jobs/checkpoint_keeper.cpp
@@ -105,7 +105,7 @@
     const descriptor Folder(Options.DataDir, O_RDONLY | O_DIRECTORY);
     descriptor::check(::fsync(Folder.Number) == 0, Options.DataDir);
   } catch (const std::system_error &Error) {
-    // It stays in memory; a full disk is no reason to refuse it.
+    // The checkpoint is still kept in memory.
     logState("checkpoint_not_written",
              {{"pool", Pool}, {"reason", Error.what()}});
   }
--- a/jobs/pool_role.cpp
+++ b/jobs/pool_role.cpp
@@ -339,8 +339,8 @@
     observe(Object);
 }
 
-/// Saves the others a read of the lease. One that does not hear of it finds
-/// the former holder without the lease and reads it.
+/// Saves the other gateways a read of the lease. One that misses the notice
+/// gets no answer from the former holder and then reads the lease.
 void pool_role::tellOthers() {
   Notices.clear();
   for (const std::string &Address : Options.StandBys(pool())) {
@@ -426,7 +426,7 @@
                    {{"pool", pool()},
                     {"result", std::string(toString(End.Result))},
                     {"status", std::to_string(Response.Status)}});
-        // One that has started again since then knows nothing.
+        // A predecessor that has restarted has no progress.
         if (Stopped && takeProgress(Response.Body, "predecessor") > 0)
           startWatching();
         else
@@ -498,7 +498,7 @@
             Keepers.push_back(Address);
         if (!JobWatcher)
           askForCheckpoint(Keepers);
-        // Looked for again with the next checkpoint.
+        // A failed list is repeated before the next checkpoint.
         KeepersAsked = Reply.Outcome == object_outcome::Done;
       });
 }
@@ -580,7 +580,7 @@
 }
 
 void pool_role::startWatching() {
-  // Not before the predecessor has given its progress: the news ends it.
+  // Sent after the hand-over, because it stops the predecessor's scheduler.
   tellOthers();
   Checkpoint.clear();
   sendCheckpoint();
@@ -632,7 +632,7 @@
   if (!Scheduler)
     return;
   CheckpointTimer.reset();
-  // The news of a successor may be here before its question.
+  // The watch may report the successor before its hand-over request arrives.
   LastProgress = Scheduler->exportProgress();
   LastProgressTimer = Options.Scheduler.Loop.after(
       Options.KeepProgress, [this] { dropLastProgress(); });
--- a/jobs/pool_role.h
+++ b/jobs/pool_role.h
@@ -82,8 +82,8 @@
   /// A process that finds its timers this late was paused, and reads its
   /// lease before it goes on.
   milliseconds PauseLimit{1000};
-  /// Where nobody has held the lease before, gateways have just started and
-  /// have to learn of one another.
+  /// Extra delay where the lease has never been held: the gateways have just
+  /// started and do not know of one another yet.
   milliseconds FirstAcquireDelay{2500};
   /// A holder steps back for this long, and at most once in the interval.
   milliseconds StepBackTime{1500};
