Log how old a gateway's knowledge of the store is

Adds watch_failed and watch_restored with the age of the watched kind, late_write, the store's revision in the lines about replicas, and the histograms watch_age_ms and request_write_delay_ms. No decision changes.

--- a/gateway/replica_directory.h
+++ b/gateway/replica_directory.h
@@ -40,6 +40,8 @@
   uint64_t StartedAtMs = 0;
   /// Loaded weight version by model.
   std::map<std::string, uint64_t, std::less<>> Versions;
+  /// Revision of the entry in the store; 0 = unknown.
+  uint64_t Revision = 0;
 };
 
 struct replica_directory_options {
--- a/http/http_client.cpp
+++ b/http/http_client.cpp
@@ -1,6 +1,8 @@
 #include "http/http_client.h"
 
 #include "base/identifier.h"
+#include "base/log.h"
+#include "base/metrics.h"
 #include "http/event_loop.h"
 #include "http/socket_options.h"
 
@@ -23,6 +25,8 @@
 using error_code = boost::system::error_code;
 
 static constexpr size_t ReadChunkBytes = 16384;
+/// A write that starts this long after the call is logged.
+static constexpr milliseconds LateWrite{300};
 
 std::string_view toString(call_result Result) {
   switch (Result) {
@@ -100,6 +104,7 @@
   beast::flat_buffer Buffer;
   std::optional<parser> Parser;
   std::string Outgoing;
+  time_point CallStartedAt{};
   std::weak_ptr<client_call_state> Call;
   timer_handle Timer;
   bool Connected = false;
@@ -167,6 +172,7 @@
   NewCall->Connection = shared_from_this();
   NewCall->Reused = HasServedCall;
   CallInProgress = true;
+  CallStartedAt = event_loop::now();
   HeadDelivered = false;
   ResponseStarted = false;
   Outgoing = std::move(NewCall->Request);
@@ -182,7 +188,20 @@
   HasServedCall = true;
 }
 
+/// Logs a request that is written long after its replica was chosen.
+static void observeWriteDelay(std::string_view Address,
+                              time_point::duration Delay) {
+  const auto Ms = std::chrono::duration_cast<milliseconds>(Delay);
+  static metric_histogram &Delays =
+      metrics::get().histogram("request_write_delay_ms");
+  Delays.record(double(Ms.count()));
+  if (Ms >= LateWrite)
+    logInfo("late_write", {{"address", std::string(Address)},
+                           {"ms", std::to_string(Ms.count())}});
+}
+
 void connection::writeRequest() {
+  observeWriteDelay(Address, event_loop::now() - CallStartedAt);
   Writing = true;
   asio::async_write(
       Socket, asio::buffer(Outgoing),
--- a/server/gateway.cpp
+++ b/server/gateway.cpp
@@ -144,10 +144,12 @@
       Directory({.Log =
                      [](std::string_view Event, const replica &Replica,
                         const std::string &Detail) {
-                       logInfo(Event, {{"replica", Replica.Id},
-                                       {"service", Replica.Service},
-                                       {"address", Replica.Address},
-                                       {"detail", Detail}});
+                       logInfo(Event,
+                               {{"replica", Replica.Id},
+                                {"service", Replica.Service},
+                                {"address", Replica.Address},
+                                {"revision", std::to_string(Replica.Revision)},
+                                {"detail", Detail}});
                      }}),
       Router({.Random = [this] { return random(); }}),
       UnaryClient({.Loop = Loop,
--- a/store/object_watcher.cpp
+++ b/store/object_watcher.cpp
@@ -1,6 +1,7 @@
 #include "store/object_watcher.h"
 
 #include "base/log.h"
+#include "base/metrics.h"
 #include "http/event_loop.h"
 
 #include <algorithm>
@@ -43,6 +44,33 @@
   });
 }
 
+void object_watcher::onConfirmed(time_point Now) {
+  if (ConfirmedAt != time_point{}) {
+    const auto Age =
+        std::chrono::duration_cast<milliseconds>(Now - ConfirmedAt);
+    static metric_histogram &Ages = metrics::get().histogram("watch_age_ms");
+    Ages.record(double(Age.count()));
+    if (Failures > 0)
+      logInfo("watch_restored", {{"kind", Options.Kind},
+                                 {"age_ms", std::to_string(Age.count())},
+                                 {"failures", std::to_string(Failures)}});
+  }
+  ConfirmedAt = Now;
+  Failures = 0;
+}
+
+void object_watcher::onFailed(const object_reply &Reply, time_point Now) {
+  metrics::get().counter("watch_failures_total", "kind", Options.Kind).add();
+  if (++Failures > 1)
+    return;
+  const auto Age = std::chrono::duration_cast<milliseconds>(Now - ConfirmedAt);
+  logInfo("watch_failed", {{"kind", Options.Kind},
+                           {"outcome", std::string(toString(Reply.Outcome))},
+                           {"detail", Reply.Detail},
+                           {"age_ms", Ready ? std::to_string(Age.count())
+                                            : std::string("none")}});
+}
+
 void object_watcher::list() {
   Listed.clear();
   ListRevision = 0;
@@ -55,7 +83,9 @@
 }
 
 void object_watcher::onListPage(const object_reply &Reply) {
+  const time_point Now = event_loop::now();
   if (Reply.Outcome != object_outcome::Done) {
+    onFailed(Reply, Now);
     scheduleAfter(Options.RetryDelay, &object_watcher::list);
     return;
   }
@@ -70,6 +100,7 @@
   }
   Revision = ListRevision;
   Ready = true;
+  onConfirmed(Now);
   const std::vector<stored_object> All = std::move(Listed);
   Listed.clear();
   const std::weak_ptr<bool> Weak = Alive;
@@ -98,10 +129,13 @@
     list();
     return;
   }
+  const time_point Now = event_loop::now();
   if (Reply.Outcome != object_outcome::Done) {
+    onFailed(Reply, Now);
     scheduleAfter(Options.RetryDelay, &object_watcher::watch);
     return;
   }
+  onConfirmed(Now);
   const std::weak_ptr<bool> Weak = Alive;
   for (const stored_object &Object : Reply.Objects) {
     Options.OnChange(Object);
@@ -110,8 +144,7 @@
   }
   Revision = std::max(Revision, Reply.StoreRevision);
   // Avoids a busy loop when the store responds immediately without changes.
-  if (Reply.Objects.empty() &&
-      event_loop::now() - WatchSentAt < Options.RetryDelay)
+  if (Reply.Objects.empty() && Now - WatchSentAt < Options.RetryDelay)
     scheduleAfter(Options.RetryDelay, &object_watcher::watch);
   else if (!Reply.Objects.empty() && Options.CoalesceDelay.count() > 0)
     scheduleAfter(Options.CoalesceDelay, &object_watcher::watch);
--- a/store/object_watcher.h
+++ b/store/object_watcher.h
@@ -55,6 +55,9 @@
   /// Whether a snapshot has been received.
   [[nodiscard]] bool ready() const { return Ready; }
   [[nodiscard]] uint64_t revision() const { return Revision; }
+  /// Time of the last response that was complete up to then; the epoch before
+  /// the first snapshot.
+  [[nodiscard]] time_point confirmedAt() const { return ConfirmedAt; }
 
 private:
   void list();
@@ -62,6 +65,8 @@
   void onListPage(const object_reply &Reply);
   void watch();
   void onWatch(const object_reply &Reply);
+  void onConfirmed(time_point Now);
+  void onFailed(const object_reply &Reply, time_point Now);
   /// Calls Next once Delay has passed and the store is reachable.
   void scheduleAfter(milliseconds Delay, void (object_watcher::*Next)());
   object_callback
@@ -74,6 +79,8 @@
   uint64_t ListRevision = 0;
   uint64_t Revision = 0;
   time_point WatchSentAt{};
+  time_point ConfirmedAt{};
+  unsigned Failures = 0;
   bool Ready = false;
   std::shared_ptr<bool> Alive;
   std::shared_ptr<timer_state> DelayTimer;
