Grant the grace period only after outages in which entries can expire

Replicas that left without notice got requests for up to 2.3 s after the store had acknowledged the removal of their entries.

Cause: a removal within 2.2 s of the end of an outage was taken for an entry that had expired in it, and any refused or lost call counted as an outage, such as a single 429. The 2.2 s exceed the bound of 2 s.

An entry expires only after three missed heartbeats, so an outage under two heartbeat intervals cannot cause it. The client of the store now gives an upper bound on the outage, from the sending of the last answered call, because a watch that waits may be answered during the outage.

--- a/server/gateway.cpp
+++ b/server/gateway.cpp
@@ -48,6 +48,9 @@
 /// about two seconds of its end; one that is still missing then is considered
 /// gone.
 static constexpr milliseconds ReregistrationGrace{2200};
+/// A replica's entry expires after three heartbeat intervals (1.2 s) without a
+/// heartbeat, so that no entry expires in a shorter outage of the store.
+static constexpr milliseconds MinOutageForExpiry{2200};
 /// How often a stopping process checks whether all requests are answered.
 static constexpr milliseconds StopCheckInterval{50};
 /// Idle timeout of callers' connections once a stopping process is out of
@@ -260,9 +263,10 @@
 }
 
 /// End of the grace period in which unlisted replicas may register again;
-/// nullopt when there has been no outage.
+/// nullopt when no entry can have expired in an outage.
 std::optional<time_point> gateway::state::reregistrationDeadline() const {
-  if (Store.outageEndedAt() == time_point{})
+  if (Store.outageEndedAt() == time_point{} ||
+      Store.longestOutage() < MinOutageForExpiry)
     return std::nullopt;
   return Store.outageEndedAt() + ReregistrationGrace;
 }
--- a/store/async_store_client.cpp
+++ b/store/async_store_client.cpp
@@ -3,6 +3,8 @@
 #include "base/metrics.h"
 #include "http/event_loop.h"
 
+#include <algorithm>
+
 namespace cardamom {
 
 std::string_view toString(object_outcome Outcome) {
@@ -63,16 +65,18 @@
       .counter("store_calls_total", "call",
                std::string(toString(Request.Op)) + ' ' + Request.Kind)
       .add();
-  Options.Send(Request, [this, Weak = std::weak_ptr<bool>(Alive),
+  Options.Send(Request, [this, SentAt = event_loop::now(),
+                         Weak = std::weak_ptr<bool>(Alive),
                          Done = std::move(Done)](const object_reply &Reply) {
     if (Weak.expired())
       return;
-    updateReachability(Reply);
+    updateReachability(Reply, SentAt);
     Done(Reply);
   });
 }
 
-void async_store_client::updateReachability(const object_reply &Reply) {
+void async_store_client::updateReachability(const object_reply &Reply,
+                                            time_point SentAt) {
   const time_point Now = event_loop::now();
   if (!showsReachability(Reply.Outcome)) {
     if (!Reachable)
@@ -85,8 +89,11 @@
     return;
   }
   LastReplyAt = Now;
+  const time_point PreviousSentAt = LastAnsweredSentAt;
+  LastAnsweredSentAt = std::max(LastAnsweredSentAt, SentAt);
   if (Reachable)
     return;
+  LongestOutage = Now - PreviousSentAt;
   Reachable = true;
   OutageEndedAt = Now;
   ProbeTimer.reset();
--- a/store/async_store_client.h
+++ b/store/async_store_client.h
@@ -128,14 +128,20 @@
   [[nodiscard]] bool reachable() const { return Reachable; }
   /// Time of the last response of the store.
   [[nodiscard]] time_point lastReplyAt() const { return LastReplyAt; }
-  /// Start of the current or most recent outage.
+  /// Start of the current or most recent outage, as detected by a failed call.
   [[nodiscard]] time_point outageStartedAt() const { return OutageStartedAt; }
+  /// Upper bound on the length of the most recent outage: the time from the
+  /// last call that was sent before it and succeeded to the first response
+  /// after it. A watch that was sent before may be answered in between.
+  [[nodiscard]] time_point::duration longestOutage() const {
+    return LongestOutage;
+  }
   [[nodiscard]] time_point outageEndedAt() const { return OutageEndedAt; }
   [[nodiscard]] milliseconds callTimeout() const { return Options.CallTimeout; }
   [[nodiscard]] uint64_t callCount() const { return CallCount; }
 
 private:
-  void updateReachability(const object_reply &Reply);
+  void updateReachability(const object_reply &Reply, time_point SentAt);
   void scheduleProbe();
 
   event_loop &Loop;
@@ -145,8 +151,11 @@
   std::shared_ptr<bool> Alive = std::make_shared<bool>(true);
   bool Reachable = true;
   time_point LastReplyAt{};
+  /// When the last call that got a response was sent.
+  time_point LastAnsweredSentAt{};
   time_point OutageStartedAt{};
   time_point OutageEndedAt{};
+  time_point::duration LongestOutage{0};
   uint64_t CallCount = 0;
 };
 
