Check the knowledge of replicas when a request is chosen and when it is written

A gateway that had been suspended sent requests and streams 2.4 s after the store had acknowledged that the replica leaves (bound 2 s), and a request whose connection took up to 1 s was written on a choice that might be outdated by then.

Cause: the choice of a replica relied on a list of any age, and nothing looked at the list again between the choice and the write.

dispatch_gate holds the one rule for all paths: unary calls, hedges, streams and their resumptions, items, moves, scoring calls and orders. A list older than the bound is renewed before a choice; the choice is checked again when a new connection is ready. A request that was not written does not count as an attempt and goes elsewhere. An order also needs a valid lease when it is written. While the store does not respond, the process goes on with what it knows.

--- a/gateway/replica_directory.cpp
+++ b/gateway/replica_directory.cpp
@@ -115,6 +115,12 @@
   return Found;
 }
 
+bool replica_directory::acceptsWork(std::string_view Id,
+                                    uint64_t StartedAtMs) const {
+  const replica *Replica = find(Id);
+  return Replica && !Replica->Draining && Replica->StartedAtMs == StartedAtMs;
+}
+
 void replica_directory::onCallFailed(std::string_view Id, time_point Now) {
   const auto It = Entries.find(Id);
   if (It == Entries.end())
--- a/gateway/replica_directory.h
+++ b/gateway/replica_directory.h
@@ -80,6 +80,11 @@
   [[nodiscard]] std::vector<const replica *>
   listed(std::string_view Service) const;
 
+  /// Whether the process of that replica, identified by its start, accepts new
+  /// work.
+  [[nodiscard]] bool acceptsWork(std::string_view Id,
+                                 uint64_t StartedAtMs) const;
+
   void onCallFailed(std::string_view Id, time_point Now);
   void onCallSucceeded(std::string_view Id);
   void onLoad(std::string_view Id, const load_report &Load, time_point Now);
--- a/gateway/stream_client.cpp
+++ b/gateway/stream_client.cpp
@@ -2,6 +2,7 @@
 
 #include "base/log.h"
 #include "base/metrics.h"
+#include "gateway/dispatch_gate.h"
 #include "gateway/event_parser.h"
 #include "gateway/replica_choice.h"
 #include "gateway/replica_directory.h"
@@ -61,6 +62,15 @@
 
 void stream_call::send() {
   const time_point Now = event_loop::now();
+  if (!Options.Gate.mayChoose(Now)) {
+    Timer.reset();
+    Options.Gate.whenOpen([Weak = weak_from_this()] {
+      const auto Self = Weak.lock();
+      if (Self && !Self->Finished)
+        Self->send();
+    });
+    return;
+  }
   const replica *Replica =
       chooseReplica(Options.Directory, Options.Router, Request.Service,
                     TriedReplicas, Options.FailureDomain, Now);
@@ -91,7 +101,8 @@
   ErrorBody.clear();
   Call = Options.Client.send(
       Replica->Address, Options.Protocol.Encode(Outgoing),
-      {.OnHead = [this](const http_response &Response) { onHead(Response); },
+      {.MayWrite = Options.Gate.writeCheck(*Replica),
+       .OnHead = [this](const http_response &Response) { onHead(Response); },
        .OnBody = [this](std::string_view Data) { onBody(Data); },
        .OnEnd = [this](const call_completion &End) { onEnd(End); }});
   startTimer();
@@ -156,9 +167,12 @@
     return endAttempt(stream_attempt_end::Complete, "complete");
   if (ResponseComplete && !Streaming)
     return endAttempt(stream_attempt_end::Failed, "upstream_failure");
-  endAttempt(End.Result == call_result::NotConnected
-                 ? stream_attempt_end::NotRun
-                 : stream_attempt_end::Broken,
+  if (End.Result == call_result::Withheld)
+    Plan.onWithheld();
+  const bool NothingSent = End.Result == call_result::NotConnected ||
+                           End.Result == call_result::Withheld;
+  endAttempt(NothingSent ? stream_attempt_end::NotRun
+                         : stream_attempt_end::Broken,
              toString(End.Result));
 }
 
--- a/gateway/stream_client.h
+++ b/gateway/stream_client.h
@@ -24,6 +24,7 @@
 
 namespace cardamom {
 
+class dispatch_gate;
 class event_loop;
 class http_client;
 class replica_directory;
@@ -70,6 +71,7 @@
   event_loop &Loop;
   http_client &Client;
   replica_directory &Directory;
+  dispatch_gate &Gate;
   router &Router;
   upstream_protocol Protocol;
   std::string FailureDomain;
--- a/gateway/unary_client.cpp
+++ b/gateway/unary_client.cpp
@@ -2,6 +2,7 @@
 
 #include "base/log.h"
 #include "base/metrics.h"
+#include "gateway/dispatch_gate.h"
 #include "gateway/replica_choice.h"
 #include "gateway/replica_directory.h"
 #include "http/event_loop.h"
@@ -52,6 +53,8 @@
   void onHead(attempt &Attempt, const http_response &Head);
   void onBody(attempt &Attempt, std::string_view Data);
   void onEnd(attempt &Attempt, const call_completion &End);
+  void withhold(attempt &Attempt);
+  void endAttempt(attempt &Attempt, std::string_view Reason);
   void fail(attempt &Attempt, attempt_failure Failure, std::string_view Reason);
   void succeed(attempt &Attempt);
   void giveUp(time_point Now);
@@ -100,6 +103,16 @@
 }
 
 void unary_call::send(time_point Now) {
+  if (!Options.Gate.mayChoose(Now)) {
+    Timer = Options.Loop.after(
+        std::chrono::ceil<milliseconds>(Request.Deadline - Now),
+        [this] { advance(); });
+    Options.Gate.whenOpen([Weak = weak_from_this()] {
+      if (const auto Self = Weak.lock())
+        Self->advance();
+    });
+    return;
+  }
   const replica *Replica = pickReplica(Now);
   if (!Replica) {
     // No second replica is available: keep waiting for the first one.
@@ -127,7 +140,8 @@
   Attempt.SentAt = Now;
   Attempt.Call = Options.Client.send(
       Replica->Address, Options.Protocol.Encode(Outgoing),
-      {.OnHead = [this, &Attempt](
+      {.MayWrite = Options.Gate.writeCheck(*Replica),
+       .OnHead = [this, &Attempt](
                      const http_response &Head) { onHead(Attempt, Head); },
        .OnBody = [this,
                   &Attempt](std::string_view Data) { onBody(Attempt, Data); },
@@ -164,6 +178,10 @@
 void unary_call::onEnd(attempt &Attempt, const call_completion &End) {
   if (Attempt.Ended)
     return;
+  if (End.Result == call_result::Withheld) {
+    withhold(Attempt);
+    return;
+  }
   if (End.Result == call_result::NotConnected) {
     Options.Directory.onCallFailed(Attempt.ReplicaId, event_loop::now());
     fail(Attempt, attempt_failure::NotRun, "not_connected");
@@ -197,10 +215,20 @@
 
 void unary_call::fail(attempt &Attempt, attempt_failure Failure,
                       std::string_view Reason) {
+  Plan.onFailed(Failure);
+  endAttempt(Attempt, Reason);
+}
+
+/// The replica left while the connection was being established.
+void unary_call::withhold(attempt &Attempt) {
+  Plan.onWithheld();
+  endAttempt(Attempt, "withheld");
+}
+
+void unary_call::endAttempt(attempt &Attempt, std::string_view Reason) {
   Attempt.Ended = true;
   const time_point Now = event_loop::now();
   Options.Router.onAbandon(Attempt.ReplicaId, {}, Now);
-  Plan.onFailed(Failure);
   LastFailureReason = Reason;
   logInfo("attempt_failed",
           {{"request", Request.UpstreamRequest.RequestId},
--- a/gateway/unary_client.h
+++ b/gateway/unary_client.h
@@ -25,6 +25,7 @@
 
 namespace cardamom {
 
+class dispatch_gate;
 class event_loop;
 class http_client;
 class unary_call;
@@ -59,6 +60,7 @@
   event_loop &Loop;
   http_client &Client;
   replica_directory &Directory;
+  dispatch_gate &Gate;
   /// Chooses the replica; learns the replicas' speed from the calls.
   router &Router;
   upstream_protocol Protocol;
--- a/http/http_client.cpp
+++ b/http/http_client.cpp
@@ -34,6 +34,8 @@
     return "complete";
   case call_result::NotConnected:
     return "not_connected";
+  case call_result::Withheld:
+    return "withheld";
   case call_result::NoResponse:
     return "no_answer";
   case call_result::InvalidResponse:
@@ -162,6 +164,11 @@
         Self->Connected = true;
         configureSocket(Self->Socket.native_handle(),
                         Self->Client->Options.AckTimeout);
+        const auto Current = Self->Call.lock();
+        if (Current && Current->Hooks.MayWrite && !Current->Hooks.MayWrite()) {
+          Self->failCall(call_result::Withheld, "the request is outdated");
+          return;
+        }
         Self->writeRequest();
         Self->read();
       });
@@ -436,8 +443,9 @@
 call_handle http_client::fetch(
     const std::string &Address, const http_request &Request,
     milliseconds Timeout,
-    const std::function<void(const call_completion &, http_response)> &OnEnd) {
-  call_handle Call = send(Address, Request, {});
+    const std::function<void(const call_completion &, http_response)> &OnEnd,
+    std::function<bool()> MayWrite) {
+  call_handle Call = send(Address, Request, {.MayWrite = std::move(MayWrite)});
   const std::weak_ptr<client_call_state> Weak = Call;
   Call->Hooks.OnHead = [Weak](const http_response &Head) {
     if (const auto Self = Weak.lock())
--- a/http/http_client.h
+++ b/http/http_client.h
@@ -33,6 +33,9 @@
   Complete,
   /// The connection could not be established; nothing was sent.
   NotConnected,
+  /// call_hooks::MayWrite refused after the connection was established; nothing
+  /// was sent.
+  Withheld,
   /// The connection ended before the first byte of the response, or fetch()
   /// timed out.
   NoResponse,
@@ -51,6 +54,9 @@
 };
 
 struct call_hooks {
+  /// Asked before the request is written to a new connection, which may be long
+  /// after send().
+  std::function<bool()> MayWrite;
   /// Receives status and headers; Body is empty. A hook may destroy the call.
   std::function<void(const http_response &)> OnHead;
   std::function<void(std::string_view)> OnBody;
@@ -91,7 +97,8 @@
   [[nodiscard]] call_handle fetch(
       const std::string &Address, const http_request &Request,
       milliseconds Timeout,
-      const std::function<void(const call_completion &, http_response)> &OnEnd);
+      const std::function<void(const call_completion &, http_response)> &OnEnd,
+      std::function<bool()> MayWrite = {});
   /// Closes the idle connections to Address.
   void closeIdleConnections(const std::string &Address);
   /// Number of connections opened so far.
--- a/jobs/item_run.cpp
+++ b/jobs/item_run.cpp
@@ -38,7 +38,8 @@
       StartedAt(Now), ProgressAt(Now) {
   this->Call = this->Options.Client.send(
       Replica.Address, this->Options.Protocol.Encode(Request),
-      {.OnHead = [this](const http_response &Response) { onHead(Response); },
+      {.MayWrite = this->Options.MayWrite,
+       .OnHead = [this](const http_response &Response) { onHead(Response); },
        .OnBody =
            [this](std::string_view Data) {
              if (Streaming && !Ended)
@@ -108,7 +109,8 @@
   if (End.Result == call_result::Complete && Streaming && Parser.atBoundary() &&
       Text.Events > 0)
     return end(item_run_outcome::Complete, {});
-  end(item_run_outcome::Broken,
+  end(End.Result == call_result::Withheld ? item_run_outcome::Refused
+                                          : item_run_outcome::Broken,
       std::string(toString(End.Result)) + ": " + End.Detail);
 }
 
--- a/jobs/item_run.h
+++ b/jobs/item_run.h
@@ -66,6 +66,8 @@
 struct item_run_options {
   http_client &Client;
   const upstream_protocol &Protocol;
+  /// Asked before the request is written to a new connection.
+  std::function<bool()> MayWrite;
   std::string_view EventVersionField;
   uint64_t MinVersion = 0;
   /// Whether all of the text must come from one version of the weights.
--- a/jobs/job_scheduler.cpp
+++ b/jobs/job_scheduler.cpp
@@ -2,6 +2,7 @@
 
 #include "base/log.h"
 #include "base/metrics.h"
+#include "gateway/dispatch_gate.h"
 #include "gateway/unary_client.h"
 #include "http/event_loop.h"
 #include "jobs/item_run.h"
@@ -413,6 +414,11 @@
   }
   if (Waiting.empty())
     return;
+  if (!Options.Gate.mayChoose(Now)) {
+    Options.Gate.whenOpen(
+        [this, Guard = makeAliveGuard()] { Guard([&] { scheduleSoon(); }); });
+    return;
+  }
   const std::vector<const replica *> Usable =
       Options.Directory.usable(Options.Pool, Now);
   for (const placed_item &Placed :
@@ -448,6 +454,8 @@
 /// Moves items from replicas that have become slow to replicas on which they
 /// are expected to finish sooner.
 void job_scheduler::moveSlowItems(time_point Now) {
+  if (!Options.Gate.mayChoose(Now))
+    return;
   std::vector<const replica *> Replicas =
       Options.Directory.usable(Options.Pool, Now);
   const size_t UsableCount = Replicas.size();
@@ -527,6 +535,7 @@
   item_run_options RunOptions{
       .Client = Options.Client,
       .Protocol = Options.Protocols.Upstream,
+      .MayWrite = Options.Gate.writeCheck(Replica),
       .EventVersionField = Options.Protocols.EventVersionField,
       .MinVersion = Job.MinVersion,
       .SingleVersion = Item.Job->SingleVersion,
--- a/jobs/job_scheduler.h
+++ b/jobs/job_scheduler.h
@@ -31,6 +31,7 @@
 
 namespace cardamom {
 
+class dispatch_gate;
 class event_loop;
 class http_client;
 class result_batch_delay;
@@ -45,6 +46,7 @@
   event_loop &Loop;
   http_client &Client;
   replica_directory &Directory;
+  dispatch_gate &Gate;
   unary_client &UnaryClient;
   async_store_client &Store;
   const gateway_protocols &Protocols;
--- a/jobs/pool_leadership.cpp
+++ b/jobs/pool_leadership.cpp
@@ -394,6 +394,7 @@
       .Loop = Options.Scheduler.Loop,
       .Client = Options.Scheduler.Client,
       .Directory = Options.Scheduler.Directory,
+      .Gate = Options.Scheduler.Gate,
       .Protocols = Options.Scheduler.Protocols,
       .Pool = pool(),
       .Holder = Options.Self,
--- a/jobs/weight_updater.cpp
+++ b/jobs/weight_updater.cpp
@@ -2,6 +2,7 @@
 
 #include "base/log.h"
 #include "base/metrics.h"
+#include "gateway/dispatch_gate.h"
 #include "http/event_loop.h"
 #include "http/http_client.h"
 
@@ -170,7 +171,7 @@
                                const replica_report &Report) {
   pending_change *Change = findChange(ReplicaId);
   const replica *Replica = Options.Directory.find(ReplicaId);
-  if (!Replica || !Options.MayOrder(event_loop::now())) {
+  if (!Replica || Replica->Draining || !Options.MayOrder(event_loop::now())) {
     endChange(ReplicaId);
     return;
   }
@@ -195,9 +196,16 @@
       Options.CallTimeout,
       [this, ReplicaId](const call_completion &End,
                         const http_response &Response) {
+        if (End.Result == call_result::Withheld) {
+          endChange(ReplicaId);
+          return;
+        }
         onOrderAnswer(ReplicaId, End.Result == call_result::Complete
                                      ? Options.Protocols.DecodeOrder(Response)
                                      : order_outcome::Unknown);
+      },
+      [this, AcceptsWork = Options.Gate.writeCheck(*Replica)] {
+        return AcceptsWork() && Options.MayOrder(event_loop::now());
       });
 }
 
--- a/jobs/weight_updater.h
+++ b/jobs/weight_updater.h
@@ -26,6 +26,7 @@
 
 namespace cardamom {
 
+class dispatch_gate;
 class event_loop;
 class http_client;
 class client_call_state;
@@ -35,6 +36,7 @@
   event_loop &Loop;
   http_client &Client;
   replica_directory &Directory;
+  const dispatch_gate &Gate;
   const gateway_protocols &Protocols;
   std::string Pool;
   std::string Holder;
--- a/policy/call_plan.cpp
+++ b/policy/call_plan.cpp
@@ -45,6 +45,11 @@
   MayHaveRun |= Failure == attempt_failure::MayHaveRun;
 }
 
+void call_plan::onWithheld() {
+  --SentAttempts;
+  --RunningAttempts;
+}
+
 run_certainty call_plan::certainty() const {
   return RunningAttempts > 0 || MayHaveRun ? run_certainty::MayHaveRun
                                            : run_certainty::NotRun;
--- a/policy/call_plan.h
+++ b/policy/call_plan.h
@@ -59,6 +59,8 @@
   [[nodiscard]] time_point nextCheckAt() const;
   void onSent(time_point Now);
   void onFailed(attempt_failure Failure);
+  /// The attempt ended before its request was sent; it does not count.
+  void onWithheld();
 
   [[nodiscard]] unsigned sentAttempts() const { return SentAttempts; }
   [[nodiscard]] unsigned runningAttempts() const { return RunningAttempts; }
--- a/policy/stream_plan.h
+++ b/policy/stream_plan.h
@@ -63,6 +63,8 @@
   explicit stream_plan(const stream_plan_options &Options) : Options(Options) {}
 
   void onSent() { ++SentAttempts; }
+  /// The attempt ended before its request was sent; it does not count.
+  void onWithheld() { --SentAttempts; }
   /// Records an event. Returns false if it does not follow the previous one.
   bool onEvent(std::optional<uint64_t> Number, time_point Now);
   stream_step onEnded(stream_attempt_end End, time_point Now);
--- a/server/gateway.cpp
+++ b/server/gateway.cpp
@@ -2,6 +2,7 @@
 
 #include "base/log.h"
 #include "base/metrics.h"
+#include "gateway/dispatch_gate.h"
 #include "gateway/fleet_view.h"
 #include "gateway/stream_client.h"
 #include "gateway/unary_client.h"
@@ -112,6 +113,7 @@
   fleet_view Fleet;
   async_store_client Store;
   replica_directory Directory;
+  dispatch_gate Gate;
   router Router;
   unary_client UnaryClient;
   stream_client StreamClient;
@@ -157,10 +159,17 @@
                                 {"revision", std::to_string(Replica.Revision)},
                                 {"detail", Detail}});
                      }}),
+      Gate({.Loop = Loop,
+            .Directory = Directory,
+            .MaxAge = Options.ReplicaRemovalBound,
+            .ConfirmedAt = [this] { return ReplicaWatcher->confirmedAt(); },
+            .StoreReachable = [this] { return Store.reachable(); },
+            .Renew = [this] { ReplicaWatcher->renew(); }}),
       Router({.Random = [this] { return random(); }}),
       UnaryClient({.Loop = Loop,
                    .Client = Client,
                    .Directory = Directory,
+                   .Gate = Gate,
                    .Router = Router,
                    .Protocol = Options.Protocols.Upstream,
                    .FailureDomain = Options.FailureDomain,
@@ -168,6 +177,7 @@
       StreamClient({.Loop = Loop,
                     .Client = Client,
                     .Directory = Directory,
+                    .Gate = Gate,
                     .Router = Router,
                     .Protocol = Options.Protocols.Upstream,
                     .FailureDomain = Options.FailureDomain}),
@@ -256,8 +266,10 @@
 void gateway::state::onStoreReachability(bool Reachable,
                                          const std::string &Detail) {
   logInfo(Reachable ? "store_back" : "store_lost", {{"detail", Detail}});
-  if (!Reachable)
+  if (!Reachable) {
+    Gate.onRenewalEnded();
     return;
+  }
   for (const auto &[Name, Pool] : Pools)
     Pool->onStoreReconnected();
 }
@@ -310,6 +322,7 @@
                 for (const auto &[Name, Pool] : Pools)
                   Pool->onReplicasChanged();
               },
+          .OnConfirmed = [this] { Gate.onRenewalEnded(); },
           .MaxAge = Options.ReplicaRemovalBound,
           .CoalesceDelay = milliseconds(
               long(ReplicaCoalesceFraction *
@@ -373,6 +386,7 @@
       .Scheduler = {.Loop = Loop,
                     .Client = Client,
                     .Directory = Directory,
+                    .Gate = Gate,
                     .UnaryClient = UnaryClient,
                     .Store = Store,
                     .Protocols = Options.Protocols,
--- a/store/object_watcher.cpp
+++ b/store/object_watcher.cpp
@@ -27,9 +27,9 @@
 
 object_callback object_watcher::bindHandler(
     void (object_watcher::*Handler)(const object_reply &)) {
-  return [this, Weak = std::weak_ptr<bool>(Alive),
+  return [this, Weak = std::weak_ptr<bool>(Alive), Sent = Generation,
           Handler](const object_reply &Reply) {
-    if (!Weak.expired())
+    if (!Weak.expired() && Sent == Generation)
       (this->*Handler)(Reply);
   };
 }
@@ -37,13 +37,28 @@
 void object_watcher::scheduleAfter(milliseconds Delay,
                                    void (object_watcher::*Next)()) {
   DelayTimer = Loop.after(Delay, [this, Next] {
-    Store.whenReachable([this, Weak = std::weak_ptr<bool>(Alive), Next] {
-      if (!Weak.expired())
+    Store.whenReachable([this, Weak = std::weak_ptr<bool>(Alive),
+                         Scheduled = Generation, Next] {
+      if (!Weak.expired() && Scheduled == Generation)
         (this->*Next)();
     });
   });
 }
 
+void object_watcher::renew() {
+  if (!Ready || Renewing)
+    return;
+  Renewing = true;
+  ++Generation;
+  DelayTimer.reset();
+  watch();
+}
+
+void object_watcher::notifyConfirmed() const {
+  if (Options.OnConfirmed)
+    Options.OnConfirmed();
+}
+
 void object_watcher::onConfirmed(time_point Now) {
   if (ConfirmedAt != time_point{}) {
     const auto Age =
@@ -107,6 +122,7 @@
   Options.OnSnapshot(All);
   if (Weak.expired())
     return;
+  notifyConfirmed();
   if (Options.CoalesceDelay.count() > 0)
     scheduleAfter(Options.CoalesceDelay, &object_watcher::watch);
   else
@@ -115,7 +131,7 @@
 
 milliseconds object_watcher::nextWait(time_point Now) const {
   // The response to a renewed watch shows whether the store responds.
-  if (Failures > 0)
+  if (Failures > 0 || Renewing)
     return milliseconds(1);
   const auto Age = std::chrono::ceil<milliseconds>(Now - ConfirmedAt);
   return std::max(Options.MaxAge - Store.callTimeout() -
@@ -139,13 +155,15 @@
     scheduleAfter(Options.RetryDelay, Next);
     return;
   }
-  Loop.post([this, Weak = std::weak_ptr<bool>(Alive), Next] {
-    if (!Weak.expired())
-      (this->*Next)();
-  });
+  Loop.post(
+      [this, Weak = std::weak_ptr<bool>(Alive), Scheduled = Generation, Next] {
+        if (!Weak.expired() && Scheduled == Generation)
+          (this->*Next)();
+      });
 }
 
 void object_watcher::onWatch(const object_reply &Reply) {
+  Renewing = false;
   if (Reply.Outcome == object_outcome::HistoryGone) {
     logInfo("watch_history_gone",
             {{"kind", Options.Kind}, {"since", std::to_string(Revision)}});
@@ -165,6 +183,7 @@
     if (Weak.expired())
       return;
   }
+  notifyConfirmed();
   Revision = std::max(Revision, Reply.StoreRevision);
   // Avoids a busy loop when the store responds immediately without changes.
   if (Reply.Objects.empty() &&
--- a/store/object_watcher.h
+++ b/store/object_watcher.h
@@ -10,7 +10,7 @@
 ///
 /// A snapshot replaces all earlier state. It is delivered at the start, and
 /// again whenever changes may have been missed. At most one request is
-/// outstanding at a time.
+/// outstanding at a time, unless renew() abandons one.
 ///
 /// A watch whose response is lost looks like one that waits for a change: the
 /// connection stays open, and the peer's kernel acknowledges keep-alive probes.
@@ -36,6 +36,9 @@
   std::string Kind;
   std::function<void(std::span<const stored_object>)> OnSnapshot;
   std::function<void(const stored_object &)> OnChange;
+  /// Called after each response that was complete up to then, once its changes
+  /// were delivered.
+  std::function<void()> OnConfirmed;
   /// Maximum age of the known state while the store responds. At least the
   /// store's call timeout and RenewalReserve together.
   milliseconds MaxAge{10000};
@@ -59,6 +62,9 @@
   object_watcher &operator=(const object_watcher &) = delete;
 
   void start();
+  /// Requests the changes so far, without waiting for the response to the
+  /// current watch.
+  void renew();
   /// Stops watching; a response that is still outstanding is ignored.
   void stop();
   [[nodiscard]] bool running() const { return Alive != nullptr; }
@@ -79,6 +85,7 @@
   void retry(void (object_watcher::*Next)());
   void onWatch(const object_reply &Reply);
   void onConfirmed(time_point Now);
+  void notifyConfirmed() const;
   void onFailed(const object_reply &Reply, time_point Now);
   /// Calls Next once Delay has passed and the store is reachable.
   void scheduleAfter(milliseconds Delay, void (object_watcher::*Next)());
@@ -97,6 +104,9 @@
   unsigned Failures = 0;
   bool Ready = false;
   std::shared_ptr<bool> Alive;
+  /// Responses to requests of earlier generations are ignored.
+  uint64_t Generation = 0;
+  bool Renewing = false;
   std::shared_ptr<timer_state> DelayTimer;
 };
 
