Bound the memory of responses that never end

Found by tests that send such bytes, all failing before: endless interim responses (1xx), chunk sizes, extensions and trailers were read without limit; after an interim response the limit on the head was lost; fetch() (store, probes, reports, orders, calls between gateways) collected a body of any size; a Content-Length of 99,999,999,999 ended the process with std::bad_alloc, because the parser reserved that much. Read from the code: an event, the comments before it, the error body of a stream and the text of an item had no limit, and each unary call could buffer 16 MiB.

Now the client of HTTP limits all bytes that are not body to 64 KiB from one part of the body to the next, and a fetched body to 8 MiB; an event and an error body end their stream at 1 MiB, an item's text at what fits into an object of the store; unary calls share 24 MiB, beyond which responses above 1 MiB fail. The connection is closed at once, and the verdict is may-have-run: idempotent calls go to another replica, others are not reported as not run.

--- a/gateway/dispatch_gate_test.cpp
+++ b/gateway/dispatch_gate_test.cpp
@@ -1,18 +1,13 @@
 #include "gateway/dispatch_gate.h"
 
-#include "gateway/replica_directory.h"
-#include "gateway/stream_client.h"
-#include "gateway/unary_client.h"
-#include "http/event_loop.h"
-#include "http/http_client.h"
+#include "gateway/test_environment.h"
 #include "http/http_server.h"
-#include "policy/router.h"
 
-#include <arpa/inet.h>
 #include <cppunit/extensions/HelperMacros.h>
-#include <netinet/in.h>
-#include <sys/socket.h>
-#include <unistd.h>
+#include <map>
+#include <memory>
+#include <optional>
+#include <vector>
 
 namespace cardamom {
 
@@ -25,130 +20,64 @@
   CPPUNIT_TEST(callWaitsForRenewedList);
   CPPUNIT_TEST_SUITE_END();
 
-  event_loop Loop;
-  http_client Client{Loop, {}};
-  replica_directory Directory{{}};
-  time_point ConfirmedAt = event_loop::now();
-  bool StoreReachable = true;
-  unsigned Renewals = 0;
-  dispatch_gate Gate{{.Loop = Loop,
-                      .Directory = Directory,
-                      .MaxAge = milliseconds(1000),
-                      .ConfirmedAt = [this] { return ConfirmedAt; },
-                      .StoreReachable = [this] { return StoreReachable; },
-                      .Renew = [this] { ++Renewals; }}};
-  router Router{{}};
-  std::string Chosen;
-  std::string Left;
-  upstream_protocol Protocol{
-      .Encode =
-          [this](const upstream_request &Request) {
-            Chosen = Request.ReplicaId;
-            return http_request{
-                .Method = "POST",
-                .Target = "/",
-                .Headers = {{"Host", "h"}, {"Id", Request.RequestId}}};
-          },
-      .Decode =
-          [](const http_response &Response) {
-            return upstream_head{
-                .Status = Response.Status, .RequestId = "r", .Signature = "s"};
-          }};
-  unary_client UnaryClient{{.Loop = Loop,
-                            .Client = Client,
-                            .Directory = Directory,
-                            .Gate = Gate,
-                            .Router = Router,
-                            .Protocol = Protocol}};
-  stream_client StreamClient{{.Loop = Loop,
-                              .Client = Client,
-                              .Directory = Directory,
-                              .Gate = Gate,
-                              .Router = Router,
-                              .Protocol = Protocol}};
+  test_environment Env;
   std::vector<std::unique_ptr<http_server>> Servers;
   std::map<std::string, unsigned> Received;
-
-  static std::string unusedAddress() {
-    const int Socket = ::socket(AF_INET, SOCK_STREAM, 0);
-    sockaddr_in Address{};
-    Address.sin_family = AF_INET;
-    Address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
-    CPPUNIT_ASSERT_EQUAL(
-        0,
-        ::bind(Socket, reinterpret_cast<sockaddr *>(&Address), sizeof Address));
-    socklen_t Length = sizeof Address;
-    ::getsockname(Socket, reinterpret_cast<sockaddr *>(&Address), &Length);
-    ::close(Socket);
-    return "127.0.0.1:" + std::to_string(ntohs(Address.sin_port));
-  }
+  std::string Left;
 
   void startReplica(const std::string &Id) {
-    const std::string Address = unusedAddress();
+    const std::string Address = test_environment::unusedAddress();
     Servers.push_back(std::make_unique<http_server>(
-        Loop,
-        http_server_options{
-            .Listen = Address, .OnRequest = [this, Id](const exchange_ptr &E) {
-              ++Received[Id];
-              E->respond(
-                  {.Status = 200, .Headers = {}, .Body = "id: 1\ndata: x\n\n"});
-            }}));
-    Directory.update({.Id = Id, .Service = "s", .Address = Address},
-                     event_loop::now());
+        Env.Loop, http_server_options{
+                      .Listen = Address,
+                      .OnRequest = [this, Id](const exchange_ptr &Exchange) {
+                        ++Received[Id];
+                        Exchange->respond({.Status = 200,
+                                           .Headers = {},
+                                           .Body = "id: 1\ndata: x\n\n"});
+                      }}));
+    Env.addReplica(Id, Address);
   }
 
   /// Lets the replica leave that the last call was sent to.
   void letChosenReplicaLeave() {
-    Left = Chosen;
-    replica Leaving = *Directory.find(Left);
+    Left = Env.Chosen;
+    replica Leaving = *Env.Directory.find(Left);
     Leaving.Draining = true;
-    Directory.update(Leaving, event_loop::now());
-  }
-
-  void runFor(milliseconds Time) {
-    const timer_handle Timer = Loop.after(Time, [this] { Loop.stop(); });
-    Loop.run();
-    Loop.restart();
-  }
-
-  unary_request request() {
-    const time_point Now = event_loop::now();
-    return {.UpstreamRequest = {.RequestId = "r"},
-            .Service = "s",
-            .MaxAttempts = 1,
-            .ReceivedAt = Now,
-            .Deadline = Now + milliseconds(1000)};
+    Env.Directory.update(Leaving, event_loop::now());
   }
 
 public:
   void oldListIsRenewedBeforeAChoice() {
     bool Opened = false;
-    CPPUNIT_ASSERT(Gate.mayChoose(ConfirmedAt + milliseconds(1000)));
-    CPPUNIT_ASSERT(!Gate.mayChoose(ConfirmedAt + milliseconds(1001)));
-    Gate.whenOpen([&] { Opened = true; });
-    Gate.whenOpen([] {});
-    CPPUNIT_ASSERT_EQUAL(1U, Renewals);
-    runFor(milliseconds(10));
+    const time_point LastChoice = Env.ConfirmedAt + milliseconds(60000);
+    CPPUNIT_ASSERT(Env.Gate.mayChoose(LastChoice));
+    CPPUNIT_ASSERT(!Env.Gate.mayChoose(LastChoice + milliseconds(1)));
+    Env.Gate.whenOpen([&] { Opened = true; });
+    Env.Gate.whenOpen([] {});
+    CPPUNIT_ASSERT_EQUAL(1U, Env.Renewals);
+    Env.runFor(milliseconds(10));
     CPPUNIT_ASSERT(!Opened);
-    Gate.onRenewalEnded();
-    runFor(milliseconds(10));
+    Env.Gate.onRenewalEnded();
+    Env.runFor(milliseconds(10));
     CPPUNIT_ASSERT(Opened);
   }
 
   // Guards against a service that stops in an outage of the store.
   void oldListIsUsedWhileStoreIsUnreachable() {
-    StoreReachable = false;
-    CPPUNIT_ASSERT(Gate.mayChoose(ConfirmedAt + milliseconds(60000)));
+    Env.StoreReachable = false;
+    CPPUNIT_ASSERT(Env.Gate.mayChoose(Env.ConfirmedAt + milliseconds(600000)));
   }
 
   void unaryCallIsNotWrittenToReplicaThatLeftDuringConnect() {
     startReplica("a");
     startReplica("b");
     unary_result Result;
-    const unary_call_ptr Call =
-        UnaryClient.start(request(), [&](unary_result End) { Result = End; });
+    const unary_call_ptr Call = Env.UnaryClient.start(
+        test_environment::unaryRequest(),
+        [&](unary_result End) { Result = std::move(End); });
     letChosenReplicaLeave();
-    runFor(milliseconds(200));
+    Env.runFor(milliseconds(200));
     CPPUNIT_ASSERT(Result.FromReplica);
     CPPUNIT_ASSERT_EQUAL(0U, Received[Left]);
   }
@@ -157,16 +86,13 @@
     startReplica("a");
     startReplica("b");
     std::optional<stream_outcome> Outcome;
-    const stream_call_ptr Call = StreamClient.start(
-        {.UpstreamRequest = {.RequestId = "r"},
-         .Service = "s",
-         .MaxAttempts = 1,
-         .FirstEventDeadline = event_loop::now() + milliseconds(1000)},
+    const stream_call_ptr Call = Env.StreamClient.start(
+        test_environment::streamRequest(),
         {.OnHead = [](const upstream_head &) {},
          .OnEvent = [](std::string_view) {},
          .OnEnd = [&](const stream_result &End) { Outcome = End.Outcome; }});
     letChosenReplicaLeave();
-    runFor(milliseconds(200));
+    Env.runFor(milliseconds(200));
     CPPUNIT_ASSERT(Outcome == stream_outcome::Complete);
     CPPUNIT_ASSERT_EQUAL(0U, Received[Left]);
   }
@@ -176,17 +102,18 @@
   void callWaitsForRenewedList() {
     startReplica("a");
     startReplica("b");
-    ConfirmedAt -= milliseconds(5000);
+    Env.ConfirmedAt -= milliseconds(65000);
     unary_result Result;
-    const unary_call_ptr Call =
-        UnaryClient.start(request(), [&](unary_result End) { Result = End; });
-    runFor(milliseconds(20));
-    CPPUNIT_ASSERT_EQUAL(1U, Renewals);
+    const unary_call_ptr Call = Env.UnaryClient.start(
+        test_environment::unaryRequest(),
+        [&](unary_result End) { Result = std::move(End); });
+    Env.runFor(milliseconds(20));
+    CPPUNIT_ASSERT_EQUAL(1U, Env.Renewals);
     CPPUNIT_ASSERT_EQUAL(0U, Received["a"] + Received["b"]);
-    Directory.remove("a", std::nullopt, event_loop::now());
-    ConfirmedAt = event_loop::now();
-    Gate.onRenewalEnded();
-    runFor(milliseconds(200));
+    Env.Directory.remove("a", std::nullopt, event_loop::now());
+    Env.ConfirmedAt = event_loop::now();
+    Env.Gate.onRenewalEnded();
+    Env.runFor(milliseconds(200));
     CPPUNIT_ASSERT(Result.FromReplica);
     CPPUNIT_ASSERT_EQUAL(0U, Received["a"]);
   }
--- a/gateway/event_parser.cpp
+++ b/gateway/event_parser.cpp
@@ -5,9 +5,15 @@
 namespace cardamom {
 
 void event_parser::feed(std::string_view Bytes) {
-  while (!Bytes.empty()) {
+  while (!Bytes.empty() && !Failed) {
     const size_t End = Bytes.find('\n');
     Line += Bytes.substr(0, End);
+    if (Line.size() + Event.Raw.size() > MaxEventBytes) {
+      Failed = true;
+      Line.clear();
+      Event = {};
+      return;
+    }
     if (End == std::string_view::npos)
       return;
     Event.Raw += Line;
--- a/gateway/event_parser.h
+++ b/gateway/event_parser.h
@@ -7,6 +7,7 @@
 ///
 /// An event is dispatched only once its terminating blank line has been read;
 /// an incomplete event at the end of the stream is discarded with the parser.
+/// A stream with a larger event than MaxEventBytes is not read on.
 /// Runs in time linear in the input.
 
 #ifndef CARDAMOM_GATEWAY_EVENT_PARSER_H
@@ -37,7 +38,12 @@
                std::function<void(const stream_event &)> OnEvent)
       : VersionField(std::move(VersionField)), OnEvent(std::move(OnEvent)) {}
 
+  /// Maximum size of an event, including comments before it.
+  static constexpr size_t MaxEventBytes = size_t(1) << 20;
+
   void feed(std::string_view Bytes);
+  /// Whether the stream contains an event that is too large.
+  [[nodiscard]] bool failed() const { return Failed; }
   /// Whether the input so far ends between two events.
   [[nodiscard]] bool atBoundary() const { return Line.empty() && !HasFields; }
 
@@ -51,6 +57,7 @@
   stream_event Event;
   bool HasData = false;
   bool HasFields = false;
+  bool Failed = false;
 };
 
 } // namespace cardamom
--- a/gateway/stream_client.cpp
+++ b/gateway/stream_client.cpp
@@ -141,10 +141,15 @@
 void stream_call::onBody(std::string_view Data) {
   if (AttemptEnded)
     return;
-  if (Streaming)
-    Parser->feed(Data);
-  else
+  if (!Streaming) {
     ErrorBody += Data;
+    if (ErrorBody.size() > Options.MaxErrorBytes)
+      endAttempt(stream_attempt_end::Broken, "error body too large");
+    return;
+  }
+  Parser->feed(Data);
+  if (Parser->failed() && !AttemptEnded)
+    endAttempt(stream_attempt_end::Broken, "event too large");
 }
 
 void stream_call::onEvent(const stream_event &Event) {
--- a/gateway/stream_client.h
+++ b/gateway/stream_client.h
@@ -75,6 +75,8 @@
   router &Router;
   upstream_protocol Protocol;
   std::string FailureDomain;
+  /// A larger body of an error response fails the attempt.
+  size_t MaxErrorBytes = size_t(1) << 20;
   /// Retry-After when no replica accepts the request.
   milliseconds RetryAfter{100};
 };
--- a/gateway/unary_client.cpp
+++ b/gateway/unary_client.cpp
@@ -12,6 +12,7 @@
 #include <algorithm>
 #include <list>
 #include <optional>
+#include <utility>
 #include <vector>
 
 namespace cardamom {
@@ -22,18 +23,21 @@
 
 class unary_call : public std::enable_shared_from_this<unary_call> {
 public:
-  unary_call(const unary_client_options &Options, unary_request Request,
+  unary_call(unary_client &Client, unary_request Request,
              std::function<void(unary_result)> Done)
-      : Options(Options), Request(std::move(Request)), Done(std::move(Done)),
+      : Client(Client), Options(Client.Options), Request(std::move(Request)),
+        Done(std::move(Done)),
         Plan({.Idempotent = this->Request.Idempotent,
               .MaxAttempts = this->Request.MaxAttempts,
               .TargetLatency = this->Request.TargetLatency,
               .ReceivedAt = this->Request.ReceivedAt,
               .Deadline = this->Request.Deadline}) {}
   ~unary_call() {
-    for (const attempt &Attempt : Attempts)
+    for (attempt &Attempt : Attempts) {
+      dropBody(Attempt);
       if (!Attempt.Ended)
         Options.Router.onAbandon(Attempt.ReplicaId, {}, event_loop::now());
+    }
   }
 
   void advance();
@@ -52,6 +56,10 @@
   void send(time_point Now);
   void onHead(attempt &Attempt, const http_response &Head);
   void onBody(attempt &Attempt, std::string_view Data);
+  [[nodiscard]] bool tooLarge(const attempt &Attempt) const;
+  /// Removes the body from the attempt and from the total of all calls.
+  std::string takeBody(attempt &Attempt);
+  void dropBody(attempt &Attempt) { (void)takeBody(Attempt); }
   void onEnd(attempt &Attempt, const call_completion &End);
   void withhold(attempt &Attempt);
   void endAttempt(attempt &Attempt, std::string_view Reason);
@@ -60,6 +68,7 @@
   void giveUp(time_point Now);
   void finish(unary_result Result);
 
+  unary_client &Client;
   const unary_client_options &Options;
   unary_request Request;
   std::function<void(unary_result)> Done;
@@ -167,10 +176,25 @@
   if (Attempt.Ended)
     return;
   Attempt.Body += Data;
-  if (Attempt.Body.size() > Options.MaxResponseBytes)
+  Client.BufferedBytes += Data.size();
+  Client.PeakBufferedBytes =
+      std::max(Client.PeakBufferedBytes, Client.BufferedBytes);
+  if (tooLarge(Attempt))
     fail(Attempt, attempt_failure::MayHaveRun, "answer_too_large");
 }
 
+bool unary_call::tooLarge(const attempt &Attempt) const {
+  const size_t Size = Attempt.Body.size();
+  return Size > Options.MaxResponseBytes ||
+         (Size > Options.SmallResponseBytes &&
+          Client.BufferedBytes > Options.MaxBufferedBytes);
+}
+
+std::string unary_call::takeBody(attempt &Attempt) {
+  Client.BufferedBytes -= Attempt.Body.size();
+  return std::exchange(Attempt.Body, {});
+}
+
 static bool isServerFailure(const upstream_head &Head) {
   return Head.Status >= 500;
 }
@@ -227,6 +251,8 @@
 
 void unary_call::endAttempt(attempt &Attempt, std::string_view Reason) {
   Attempt.Ended = true;
+  if (&Attempt != FallbackAttempt)
+    dropBody(Attempt);
   const time_point Now = event_loop::now();
   Options.Router.onAbandon(Attempt.ReplicaId, {}, Now);
   LastFailureReason = Reason;
@@ -257,7 +283,7 @@
   Options.Directory.onCallSucceeded(Attempt.ReplicaId);
   finish({.FromReplica = true,
           .Head = std::move(*Attempt.Head),
-          .Body = std::move(Attempt.Body),
+          .Body = takeBody(Attempt),
           .ReplicaId = Attempt.ReplicaId,
           .Verdict = {},
           .TriedReplicas = {}});
@@ -267,7 +293,7 @@
   if (FallbackAttempt) {
     finish({.FromReplica = true,
             .Head = std::move(*FallbackAttempt->Head),
-            .Body = std::move(FallbackAttempt->Body),
+            .Body = takeBody(*FallbackAttempt),
             .ReplicaId = FallbackAttempt->ReplicaId,
             .Verdict = {},
             .TriedReplicas = {}});
@@ -320,8 +346,8 @@
 
 unary_call_ptr unary_client::start(unary_request Request,
                                    std::function<void(unary_result)> Done) {
-  auto Call = std::make_shared<unary_call>(Options, std::move(Request),
-                                           std::move(Done));
+  auto Call =
+      std::make_shared<unary_call>(*this, std::move(Request), std::move(Done));
   Call->advance();
   return Call;
 }
--- a/gateway/unary_client.h
+++ b/gateway/unary_client.h
@@ -67,6 +67,10 @@
   std::string FailureDomain;
   /// A larger response fails the attempt.
   size_t MaxResponseBytes = size_t(16) << 20;
+  /// While the responses of all calls together take more, those larger than
+  /// SmallResponseBytes fail as well.
+  size_t MaxBufferedBytes = size_t(24) << 20;
+  size_t SmallResponseBytes = size_t(1) << 20;
   /// Uniform random number in [0, 1); adds jitter to Retry-After.
   std::function<double()> Random;
 };
@@ -81,9 +85,14 @@
   [[nodiscard]] unary_call_ptr start(unary_request Request,
                                      std::function<void(unary_result)> Done);
 
+  /// Largest total of the responses buffered at a time.
+  [[nodiscard]] size_t peakBufferedBytes() const { return PeakBufferedBytes; }
+
 private:
   friend class unary_call;
   unary_client_options Options;
+  size_t BufferedBytes = 0;
+  size_t PeakBufferedBytes = 0;
 };
 
 } // namespace cardamom
--- a/http/http_client.cpp
+++ b/http/http_client.cpp
@@ -10,9 +10,10 @@
 #include <boost/asio/buffer.hpp>
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/write.hpp>
+#include <boost/beast/core/buffers_to_string.hpp>
 #include <boost/beast/core/flat_buffer.hpp>
+#include <boost/beast/http/basic_dynamic_body.hpp>
 #include <boost/beast/http/parser.hpp>
-#include <boost/beast/http/string_body.hpp>
 #include <map>
 #include <optional>
 #include <vector>
@@ -89,8 +90,11 @@
   bool HasServedCall = false;
 
 private:
-  using parser = beast::http::response_parser<beast::http::string_body,
-                                              std::allocator<char>>;
+  // A string_body would reserve memory for the whole Content-Length, which the
+  // peer chooses.
+  using parser = beast::http::response_parser<
+      beast::http::basic_dynamic_body<beast::flat_buffer>,
+      std::allocator<char>>;
 
   void writeRequest();
   void read();
@@ -98,6 +102,7 @@
   void onReadError(const error_code &Error);
   void parse();
   bool deliverParsed();
+  void startResponse();
   void completeCall();
   void failCall(call_result Result, std::string Detail);
   void deliverHead();
@@ -114,6 +119,8 @@
   bool Closed = false;
   bool HeadDelivered = false;
   bool ResponseStarted = false;
+  /// Bytes received since the last part of the body, or since the start.
+  size_t FramingBytes = 0;
   /// A response may arrive before the request has been written completely.
   bool Writing = false;
 };
@@ -183,10 +190,8 @@
   HeadDelivered = false;
   ResponseStarted = false;
   Outgoing = std::move(NewCall->Request);
-  Parser.emplace();
-  Parser->eager(true);
-  Parser->header_limit(uint32_t(Client->Options.MaxHeaderBytes));
-  Parser->body_limit(boost::none);
+  FramingBytes = 0;
+  startResponse();
   Timer.reset();
   if (Connected)
     writeRequest();
@@ -195,6 +200,13 @@
   HasServedCall = true;
 }
 
+void connection::startResponse() {
+  Parser.emplace();
+  Parser->eager(true);
+  Parser->header_limit(uint32_t(Client->Options.MaxHeaderBytes));
+  Parser->body_limit(boost::none);
+}
+
 /// Logs a request that is written long after its replica was chosen.
 static void observeWriteDelay(std::string_view Address,
                               time_point::duration Delay) {
@@ -273,6 +285,13 @@
     error_code Error;
     const size_t Consumed = Parser->put(Buffer.data(), Error);
     Buffer.consume(Consumed);
+    const size_t BodyBytes =
+        Parser->is_header_done() ? Parser->get().body().size() : 0;
+    FramingBytes = BodyBytes > 0 ? 0 : FramingBytes + Consumed;
+    if (FramingBytes + Buffer.size() > Client->Options.MaxHeaderBytes) {
+      failCall(call_result::InvalidResponse, "head or framing too large");
+      return;
+    }
     if (Error && Error != beast::http::error::need_more) {
       failCall(call_result::InvalidResponse, Error.message());
       return;
@@ -293,9 +312,7 @@
   if (!Parser->is_header_done())
     return true;
   if (Parser->get().result_int() / 100 == 1) {
-    Parser.emplace();
-    Parser->eager(true);
-    Parser->body_limit(boost::none);
+    startResponse();
     return true;
   }
   const std::weak_ptr<connection> Alive = weak_from_this();
@@ -314,10 +331,10 @@
     if (Closed)
       return false;
   }
-  std::string &Body = Parser->get().body();
-  if (!Body.empty()) {
-    const std::string Data = std::move(Body);
-    Body.clear();
+  beast::flat_buffer &Body = Parser->get().body();
+  if (Body.size() > 0) {
+    const std::string Data = beast::buffers_to_string(Body.data());
+    Body.consume(Body.size());
     if (Current->Hooks.OnBody)
       Current->Hooks.OnBody(Data);
   }
@@ -440,6 +457,17 @@
   return Call;
 }
 
+/// Closes the connection of a fetch and reports its end.
+static void endFetch(
+    client_call_state &Call, call_result Result, std::string Detail,
+    const std::function<void(const call_completion &, http_response)> &OnEnd) {
+  const connection_ptr Connection = std::move(Call.Connection);
+  Call.Connection.reset();
+  const bool Reused = Call.Reused;
+  Connection->cancelCall();
+  OnEnd({.Result = Result, .Reused = Reused, .Detail = std::move(Detail)}, {});
+}
+
 call_handle http_client::fetch(
     const std::string &Address, const http_request &Request,
     milliseconds Timeout,
@@ -451,9 +479,15 @@
     if (const auto Self = Weak.lock())
       Self->CollectedResponse = Head;
   };
-  Call->Hooks.OnBody = [Weak](std::string_view Data) {
-    if (const auto Self = Weak.lock())
-      Self->CollectedResponse.Body += Data;
+  Call->Hooks.OnBody = [Weak, OnEnd, MaxBytes = State->Options.MaxFetchedBytes](
+                           std::string_view Data) {
+    const auto Self = Weak.lock();
+    if (!Self)
+      return;
+    std::string &Body = Self->CollectedResponse.Body;
+    Body += Data;
+    if (Body.size() > MaxBytes)
+      endFetch(*Self, call_result::InvalidResponse, "body too large", OnEnd);
   };
   Call->Hooks.OnEnd = [Weak, OnEnd](const call_completion &End) {
     const auto Self = Weak.lock();
@@ -463,17 +497,8 @@
     OnEnd(End, std::move(Self->CollectedResponse));
   };
   Call->Deadline = State->Loop.after(Timeout, [Weak, OnEnd] {
-    const auto Self = Weak.lock();
-    if (!Self || !Self->Connection)
-      return;
-    const connection_ptr Connection = std::move(Self->Connection);
-    Self->Connection.reset();
-    const bool Reused = Self->Reused;
-    Connection->cancelCall();
-    OnEnd({.Result = call_result::NoResponse,
-           .Reused = Reused,
-           .Detail = "timeout"},
-          {});
+    if (const auto Self = Weak.lock(); Self && Self->Connection)
+      endFetch(*Self, call_result::NoResponse, "timeout", OnEnd);
   });
   return Call;
 }
--- a/http/http_client.h
+++ b/http/http_client.h
@@ -77,7 +77,11 @@
   /// The connection is closed when the peer sends no TCP acknowledgement for
   /// about this long.
   milliseconds AckTimeout{2000};
+  /// Limit on the bytes of a response before its body, including interim
+  /// responses, and on those between two parts of its body or after it.
   size_t MaxHeaderBytes = 65536;
+  /// Limit on the body that fetch() collects.
+  size_t MaxFetchedBytes = size_t(8) << 20;
 };
 
 class http_client {
@@ -92,8 +96,8 @@
   /// send() returns.
   [[nodiscard]] call_handle send(const std::string &Address,
                                  const http_request &Request, call_hooks Hooks);
-  /// Like send(), but collects the body and completes with NoResponse after
-  /// Timeout.
+  /// Like send(), but collects the body, and completes with NoResponse after
+  /// Timeout and with InvalidResponse when the body is too large.
   [[nodiscard]] call_handle fetch(
       const std::string &Address, const http_request &Request,
       milliseconds Timeout,
--- a/http/http_engine_test.cpp
+++ b/http/http_engine_test.cpp
@@ -3,6 +3,7 @@
 #include "http/http_server.h"
 
 #include <arpa/inet.h>
+#include <atomic>
 #include <cppunit/extensions/HelperMacros.h>
 #include <functional>
 #include <netinet/in.h>
@@ -117,6 +118,9 @@
   CPPUNIT_TEST(responseWithoutLengthEndsAtClose);
   CPPUNIT_TEST(unsolicitedResponseClosesConnection);
   CPPUNIT_TEST(cancelledCallClosesConnection);
+  CPPUNIT_TEST(endlessHeadEndsCall);
+  CPPUNIT_TEST(endlessBodyEndsFetch);
+  CPPUNIT_TEST(endlessFramingEndsFetch);
   CPPUNIT_TEST(reportsClientDisconnect);
   CPPUNIT_TEST(rejectsRequestsOverLimits);
   CPPUNIT_TEST(abortedStreamHasNoFinalChunk);
@@ -175,7 +179,87 @@
     Thread.join();
   }
 
+  /// Sends Start and then Repeated until the client closes the connection.
+  /// Returns how the call ended; checks that it ended long before its timeout
+  /// and that the client did not read on.
+  static call_result fetchEndless(const std::string &Start,
+                                  const std::string &Repeated) {
+    static constexpr size_t MaxSentBytes = size_t(32) << 20;
+    std::atomic<size_t> SentBytes = 0;
+    blocking_server Server([&](int Connection) {
+      readRequest(Connection);
+      sendText(Connection, Start);
+      std::string Block;
+      while (Block.size() < 65536)
+        Block += Repeated;
+      while (SentBytes < 2 * MaxSentBytes) {
+        const ssize_t Count =
+            ::send(Connection, Block.data(), Block.size(), MSG_NOSIGNAL);
+        if (Count <= 0)
+          return;
+        SentBytes += size_t(Count);
+      }
+    });
+    event_loop Loop;
+    http_client Client(Loop, {});
+    std::optional<call_result> Result;
+    const call_handle Call = Client.fetch(
+        Server.address(),
+        {.Method = "GET", .Target = "/", .Headers = {{"Host", "h"}}},
+        milliseconds(8000), [&](const call_completion &End, http_response) {
+          Result = End.Result;
+          Loop.stop();
+        });
+    const time_point StartedAt = event_loop::now();
+    runFor(Loop, milliseconds(9000));
+    CPPUNIT_ASSERT(Result);
+    CPPUNIT_ASSERT_MESSAGE(Start + Repeated.substr(0, 20),
+                           SentBytes < MaxSentBytes);
+    CPPUNIT_ASSERT(event_loop::now() - StartedAt < milliseconds(7000));
+    return *Result;
+  }
+
 public:
+  // Guards against memory that grows with a head that never ends.
+  void endlessHeadEndsCall() {
+    const std::vector<std::pair<std::string, std::string>> Heads = {
+        {"", "x"},
+        {"", "\r\n"},
+        {"HTTP/1.1 200 ", "x"},
+        {"HTTP/1.1 200 OK\r\n", "A: b\r\n"},
+        {"HTTP/1.1 200 OK\r\nA: ", "x"},
+        {"HTTP/1.1 200 OK\r\nA: b\r\n", " x\r\n"},
+        {"", "HTTP/1.1 100 Continue\r\n\r\n"},
+        {"HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 200 OK\r\n", "A: b\r\n"}};
+    for (const auto &[Start, Repeated] : Heads)
+      CPPUNIT_ASSERT(fetchEndless(Start, Repeated) ==
+                     call_result::InvalidResponse);
+  }
+
+  // Guards against memory that grows with a body that never ends.
+  void endlessBodyEndsFetch() {
+    for (const std::string Head :
+         {"HTTP/1.1 200 OK\r\n\r\n",
+          "HTTP/1.1 200 OK\r\nContent-Length: 99999999999\r\n\r\n",
+          "HTTP/1.1 503 Busy\r\n\r\n"})
+      CPPUNIT_ASSERT(fetchEndless(Head, "x") == call_result::InvalidResponse);
+    CPPUNIT_ASSERT(
+        fetchEndless("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n",
+                     "4\r\nabcd\r\n") == call_result::InvalidResponse);
+  }
+
+  // Guards against memory that grows with chunk sizes, extensions and trailers
+  // that never end.
+  void endlessFramingEndsFetch() {
+    const std::string Head =
+        "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n";
+    for (const auto &[Start, Repeated] :
+         std::vector<std::pair<std::string, std::string>>{
+             {Head, "0"}, {Head + "4;a=", "x"}, {Head + "0\r\n", "A: b\r\n"}})
+      CPPUNIT_ASSERT(fetchEndless(Start, Repeated) ==
+                     call_result::InvalidResponse);
+  }
+
   void reusesConnection() {
     event_loop Loop;
     const std::string Address = unusedAddress();
--- a/jobs/item_run.cpp
+++ b/jobs/item_run.cpp
@@ -42,8 +42,11 @@
        .OnHead = [this](const http_response &Response) { onHead(Response); },
        .OnBody =
            [this](std::string_view Data) {
-             if (Streaming && !Ended)
-               Parser.feed(Data);
+             if (!Streaming || Ended)
+               return;
+             Parser.feed(Data);
+             if (Parser.failed())
+               end(item_run_outcome::Broken, "event too large");
            },
        .OnEnd = [this](const call_completion &End) { onEnd(End); }});
 }
@@ -91,6 +94,10 @@
       !Text.Versions.empty() && !Text.Versions.contains(*Version);
   if (*Version < Options.MinVersion || (Options.SingleVersion && OtherVersion))
     return end(item_run_outcome::TooOld, "version " + std::to_string(*Version));
+  if (Text.Text.size() + Event.Data.size() >= Options.MaxTextBytes) {
+    Text = {};
+    return end(item_run_outcome::Broken, "text too large");
+  }
   if (Text.Events > 0)
     Text.Text += '\n';
   Text.Text += Event.Data;
--- a/jobs/item_run.h
+++ b/jobs/item_run.h
@@ -72,6 +72,9 @@
   uint64_t MinVersion = 0;
   /// Whether all of the text must come from one version of the weights.
   bool SingleVersion = false;
+  /// A longer text is discarded, because its result would not fit into an
+  /// object of the store.
+  size_t MaxTextBytes = 900000;
   /// Called with the version in the response headers and with that of each
   /// event that has one.
   std::function<void(uint64_t)> OnVersion;
