Count only failures of an item as its failed attempts

Cause: any error status of a replica counted as a failed attempt. The scorer was slow, four scoring calls ended with its own 504 at the deadline that the gateway had set (600 ms), and the item was given up.

Only status 500 counts now, for items and for scoring calls; any other error status is a broken run that is retried with backoff. Items that fail with 500 are given up as before (itemIsGivenUpAfterFailures).

--- a/jobs/item_run.cpp
+++ b/jobs/item_run.cpp
@@ -7,6 +7,7 @@
 
 static constexpr unsigned StatusOk = 200;
 static constexpr unsigned StatusUnprocessable = 422;
+static constexpr unsigned StatusServerError = 500;
 
 std::string_view toString(item_run_outcome Outcome) {
   switch (Outcome) {
@@ -64,8 +65,10 @@
     return end(item_run_outcome::Refused, Status);
   if (Head.Status == StatusUnprocessable)
     return end(item_run_outcome::Impossible, Status);
-  if (Head.Status != StatusOk)
+  if (Head.Status == StatusServerError)
     return end(item_run_outcome::Failed, Status);
+  if (Head.Status != StatusOk)
+    return end(item_run_outcome::Broken, Status);
   if (Head.ContentEncoded || Head.Signature.empty())
     return end(item_run_outcome::Broken,
                "response is unsigned or has a content encoding");
--- a/jobs/item_run.h
+++ b/jobs/item_run.h
@@ -44,12 +44,15 @@
   Refused,
   /// The process at the address is not the expected replica.
   Misdirected,
-  /// The replica reported a failure; counts as an attempt.
+  /// The replica reported that processing failed (status 500); counts as an
+  /// attempt.
   Failed,
   /// The replica reported that the item cannot be processed.
   Impossible,
-  /// The stream ended early or was invalid; the text received so far remains
-  /// valid.
+  /// The response had another error status, which may be due to a deadline or
+  /// to load, or the stream ended early or was invalid; the text received so
+  /// far
+  /// remains valid.
   Broken,
   /// The weights are older than the job allows, or not of the single version
   /// that the job requires.
--- a/jobs/job_scheduler.cpp
+++ b/jobs/job_scheduler.cpp
@@ -17,6 +17,7 @@
 
 namespace cardamom {
 
+static constexpr unsigned StatusServerError = 500;
 /// Interval at which runs are checked for stalls and items for expiry.
 static constexpr milliseconds TickInterval{200};
 /// Delay before a failed item or scoring call is retried.
@@ -714,7 +715,11 @@
   const route *Route =
       Options.FindRoute(Item.Item->Scoring->Host, Item.Item->Scoring->Path);
   const unsigned MaxFailures = Route ? Route->MaxAttempts : 1;
-  if (Result.FromReplica && ++Item.ScoringFailures >= MaxFailures) {
+  // Other statuses, such as 504 at the deadline that the call was given, say
+  // nothing about the item.
+  const bool Failed =
+      Result.FromReplica && Result.Head.Status == StatusServerError;
+  if (Failed && ++Item.ScoringFailures >= MaxFailures) {
     giveUp(Item, "scoring");
     return;
   }
