--- a/gateway/endless_response_test.cpp
+++ b/gateway/endless_response_test.cpp
@@ -14,14 +14,16 @@
 /// until the client closes the connection.
 class endless_replica {
 public:
-  endless_replica(std::string Head, std::string Repeated)
+  endless_replica(std::string Head, const std::string &Repeated)
       : Head(std::move(Head)), Listener(::socket(AF_INET, SOCK_STREAM, 0)) {
     while (Block.size() < 65536)
       Block += Repeated;
     sockaddr_in Address{};
     Address.sin_family = AF_INET;
     Address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
-    ::bind(Listener, reinterpret_cast<sockaddr *>(&Address), sizeof Address);
+    CPPUNIT_ASSERT_EQUAL(0, ::bind(Listener,
+                                   reinterpret_cast<sockaddr *>(&Address),
+                                   sizeof Address));
     ::listen(Listener, 64);
     socklen_t Length = sizeof Address;
     ::getsockname(Listener, reinterpret_cast<sockaddr *>(&Address), &Length);
--- a/http/http_engine_test.cpp
+++ b/http/http_engine_test.cpp
@@ -206,7 +206,8 @@
     const call_handle Call = Client.fetch(
         Server.address(),
         {.Method = "GET", .Target = "/", .Headers = {{"Host", "h"}}},
-        milliseconds(8000), [&](const call_completion &End, http_response) {
+        milliseconds(8000),
+        [&](const call_completion &End, const http_response &) {
           Result = End.Result;
           Loop.stop();
         });
--- a/store/object_watcher_test.cpp
+++ b/store/object_watcher_test.cpp
@@ -80,8 +80,9 @@
     Store = std::make_unique<async_store_client>(
         Loop,
         async_store_client_options{
-            .Send = [this](const object_request &Request,
-                           object_callback Done) { handle(Request, Done); },
+            .Send =
+                [this](const object_request &Request,
+                       const object_callback &Done) { handle(Request, Done); },
             .CallTimeout = CallTimeout});
     Watcher = std::make_unique<object_watcher>(
         Loop, *Store,
