--- a/jobs/item_run.h
+++ b/jobs/item_run.h
@@ -49,10 +49,8 @@
   Failed,
   /// The replica reported that the item cannot be processed.
   Impossible,
-  /// The response had another error status, which may be due to a deadline or
-  /// to load, or the stream ended early or was invalid; the text received so
-  /// far
-  /// remains valid.
+  /// The stream ended early or was invalid, or the response had another error
+  /// status, which may be due to load; the text received so far remains valid.
   Broken,
   /// The weights are older than the job allows, or not of the single version
   /// that the job requires.
