--- a/gateway/endless_response_test.cpp
+++ b/gateway/endless_response_test.cpp
@@ -1,81 +1,12 @@
 #include "gateway/test_environment.h"
+#include "http/test_endless_server.h"
 
-#include <atomic>
 #include <cppunit/extensions/HelperMacros.h>
 #include <optional>
-#include <thread>
 #include <vector>
 
 namespace cardamom {
 
-namespace {
-
-/// Replica that answers each request with a head and then with the same bytes
-/// until the client closes the connection.
-class endless_replica {
-public:
-  endless_replica(std::string Head, const std::string &Repeated)
-      : Head(std::move(Head)), Listener(::socket(AF_INET, SOCK_STREAM, 0)) {
-    while (Block.size() < 65536)
-      Block += Repeated;
-    sockaddr_in Address{};
-    Address.sin_family = AF_INET;
-    Address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
-    CPPUNIT_ASSERT_EQUAL(0, ::bind(Listener,
-                                   reinterpret_cast<sockaddr *>(&Address),
-                                   sizeof Address));
-    ::listen(Listener, 64);
-    socklen_t Length = sizeof Address;
-    ::getsockname(Listener, reinterpret_cast<sockaddr *>(&Address), &Length);
-    Port = ntohs(Address.sin_port);
-    Acceptor = std::thread([this] { accept(); });
-  }
-  ~endless_replica() {
-    ::shutdown(Listener, SHUT_RDWR);
-    Acceptor.join();
-    for (std::thread &Sender : Senders)
-      Sender.join();
-    ::close(Listener);
-  }
-  [[nodiscard]] std::string address() const {
-    return "127.0.0.1:" + std::to_string(Port);
-  }
-
-  std::atomic<size_t> SentBytes = 0;
-  std::atomic<unsigned> OpenConnections = 0;
-
-private:
-  void accept() {
-    for (;;) {
-      const int Connection = ::accept(Listener, nullptr, nullptr);
-      if (Connection < 0)
-        return;
-      ++OpenConnections;
-      Senders.emplace_back([this, Connection] { send(Connection); });
-    }
-  }
-
-  void send(int Connection) {
-    ssize_t Count = ::send(Connection, Head.data(), Head.size(), MSG_NOSIGNAL);
-    while (Count > 0) {
-      Count = ::send(Connection, Block.data(), Block.size(), MSG_NOSIGNAL);
-      if (Count > 0)
-        SentBytes += size_t(Count);
-    }
-    ::close(Connection);
-    --OpenConnections;
-  }
-
-  std::string Head;
-  std::string Block;
-  int Listener;
-  uint16_t Port = 0;
-  std::thread Acceptor;
-  std::vector<std::thread> Senders;
-};
-
-} // namespace
-
 class endless_response_test : public CppUnit::TestFixture {
   CPPUNIT_TEST_SUITE(endless_response_test);
   CPPUNIT_TEST(unaryCallsEndWithinOneMemoryLimit);
@@ -104,7 +35,7 @@
 public:
   // Guards against memory that grows with the number of endless bodies.
   void unaryCallsEndWithinOneMemoryLimit() {
-    endless_replica Replica(Ok, "x");
+    endless_server Replica(Ok, "x");
     test_environment Env;
     Env.addReplica("a", Replica.address());
     static constexpr size_t Calls = 16;
@@ -130,7 +61,7 @@
 
   // Guards against a hedged call that keeps the endless response open or fails.
   void hedgeReplacesEndlessResponse() {
-    endless_replica Endless(Ok, "x");
+    endless_server Endless(Ok, "x");
     test_environment Env;
     Env.addReplica("a", Endless.address());
     unary_request Request = test_environment::unaryRequest();
@@ -142,8 +73,7 @@
           Result = std::move(End);
           Env.Loop.stop();
         });
-    endless_replica Other("HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok",
-                          "y");
+    endless_server Other("HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok", "y");
     Env.addReplica("b", Other.address());
     Env.runFor(milliseconds(3000));
     CPPUNIT_ASSERT(Result);
@@ -156,7 +86,7 @@
 
   void streamEndsAtEndlessEvent() {
     for (const std::string Repeated : {"x", "data: x\n", ": comment\n"}) {
-      endless_replica Replica(Ok, Repeated);
+      endless_server Replica(Ok, Repeated);
       test_environment Env;
       Env.addReplica("a", Replica.address());
       const auto Result = stream(Env);
@@ -168,7 +98,7 @@
   }
 
   void streamEndsAtEndlessErrorBody() {
-    endless_replica Replica("HTTP/1.1 500 Error\r\n\r\n", "x");
+    endless_server Replica("HTTP/1.1 500 Error\r\n\r\n", "x");
     test_environment Env;
     Env.addReplica("a", Replica.address());
     const auto Result = stream(Env);
