Leave out entries that cannot be read instead of the whole list

Cause: a reply of the store was parsed as one document. One entry with a number out of range, bytes that are not UTF-8 or a negative revision made the reply unreadable, so that every list and watch of that kind failed as long as the entry existed. Deep nesting overflowed the stack when the entry was copied. An overwritten lease, job status, gateway or checkpoint server entry with fields of another type threw out of the event loop and ended the process.

Change: base/bounded_json splits a reply into its entries without parsing them, and parses each with limited depth. An entry that cannot be read is logged with kind, name, revision and reason, counted, and left out; the rest is followed. A replica's entry that turns unreadable names no replica until its next heartbeat. A lease that turns unreadable counts as released; the store's revision bounds its tokens. Other input from outside goes through the same parser: reports of replicas, job documents, calls and checkpoints between gateways, callers' bodies.

Ruled out: skipping the malformed value with a SAX parser of the library; it stops at the first error.

--- a/entry/request_parsing.cpp
+++ b/entry/request_parsing.cpp
@@ -1,5 +1,6 @@
 #include "entry/request_parsing.h"
 
+#include "base/bounded_json.h"
 #include "entry/http_reply.h"
 
 #include <algorithm>
@@ -7,6 +8,7 @@
 #include <limits>
 #include <nlohmann/json.hpp>
 #include <set>
+#include <stdexcept>
 
 namespace cardamom {
 
@@ -15,9 +17,12 @@
 static constexpr uint64_t MaxNumber = std::numeric_limits<int64_t>::max();
 
 static json parseObject(std::string_view Body) {
-  json Parsed = json::parse(Body, nullptr, false);
-  if (Parsed.is_discarded())
+  json Parsed;
+  try {
+    Parsed = parseBoundedJson(Body);
+  } catch (const std::invalid_argument &) {
     throw input_error(400, "malformed_json", "body", "a JSON object");
+  }
   if (!Parsed.is_object())
     throw input_error(400, "wrong_type", "body", "a JSON object");
   return Parsed;
--- a/gateway/fleet_view.cpp
+++ b/gateway/fleet_view.cpp
@@ -1,12 +1,18 @@
 #include "gateway/fleet_view.h"
 
+#include "base/identifier.h"
 #include "base/log.h"
 
 #include <algorithm>
 #include <nlohmann/json.hpp>
+#include <stdexcept>
 
 namespace cardamom {
 
+/// More than any VM has. A larger number would make every other gateway step
+/// back.
+static constexpr double MaxCores = 4096;
+
 fleet_view::fleet_view(fleet_member Self) : Self(Self) {
   Members.push_back(std::move(Self));
 }
@@ -20,10 +26,15 @@
     return;
   remove(Name);
   try {
-    Members.push_back({.Name = Name,
-                       .Address = Spec.at("address"),
-                       .Cores = Spec.at("cores")});
-  } catch (const nlohmann::json::exception &Error) {
+    fleet_member Member{
+        .Name = Name, .Address = Spec.at("address"), .Cores = Spec.at("cores")};
+    if (!parseIpPort(Member.Address))
+      throw std::invalid_argument("\"" + Member.Address + "\" is not " +
+                                  std::string(IpPortFormat));
+    if (!(Member.Cores > 0 && Member.Cores <= MaxCores))
+      throw std::invalid_argument("number of cores out of range");
+    Members.push_back(std::move(Member));
+  } catch (const std::exception &Error) {
     logInfo("gateway_unreadable", {{"name", Name}, {"reason", Error.what()}});
   }
 }
--- a/jobs/job_cache.cpp
+++ b/jobs/job_cache.cpp
@@ -109,7 +109,8 @@
         if (Entry->Log.batchCount() == Number && result_log::isClosing(Spec)) {
           Entry->Log.close();
         } else if (Entry->Log.batchCount() == Number) {
-          std::vector<item_result> Batch = result_log::decodeBatch(Spec);
+          std::vector<item_result> Batch =
+              result_log::readStoredBatch(Entry->Job.Id, Spec);
           for (const item_result &Result : Batch)
             Entry->Bytes += Result.Text.size();
           Entry->Log.append(std::move(Batch));
--- a/jobs/job_document.cpp
+++ b/jobs/job_document.cpp
@@ -1,5 +1,7 @@
 #include "jobs/job_document.h"
 
+#include "base/bounded_json.h"
+
 #include <stdexcept>
 
 namespace cardamom {
@@ -41,7 +43,7 @@
 json endedStatus() { return {{"ended", true}}; }
 
 bool isEnded(const stored_object &Object) {
-  return Object.Status.is_object() && Object.Status.value("ended", false);
+  return flagOr(Object.Status, "ended");
 }
 
 } // namespace cardamom
--- a/jobs/pool_leadership.cpp
+++ b/jobs/pool_leadership.cpp
@@ -1,5 +1,6 @@
 #include "jobs/pool_leadership.h"
 
+#include "base/bounded_json.h"
 #include "base/log.h"
 #include "base/metrics.h"
 #include "http/event_loop.h"
@@ -26,6 +27,10 @@
 static constexpr milliseconds JobMaxAge{2000};
 static constexpr milliseconds WeightMaxAge{2000};
 
+/// Far above any number of changes of holder, and below a token whose successor
+/// would overflow.
+static constexpr uint64_t MaxFencingToken = uint64_t(1) << 53;
+
 static json encodeLease(const pool_lease_record &Record) {
   return {{"holder", Record.Holder},
           {"incarnation", Record.Incarnation},
@@ -34,15 +39,23 @@
           {"revision", Record.Revision}};
 }
 
+/// A lease that another writer has overwritten in an invalid form counts as
+/// released. Each new token costs a revision of the store, so the revision is
+/// an upper bound on all tokens so far.
 static pool_lease_record decodeLease(const stored_object &Object) {
-  pool_lease_record Record{.Revision = Object.Revision};
-  if (!Object.Spec.is_object())
-    return Record;
-  Record.Holder = Object.Spec.value("holder", "");
-  Record.Incarnation = Object.Spec.value("incarnation", "");
-  Record.Address = Object.Spec.value("address", "");
-  Record.FencingToken = Object.Spec.value("token", uint64_t(0));
-  return Record;
+  const std::string Holder = textOr(Object.Spec, "holder", "?");
+  const uint64_t Token = countOr(Object.Spec, "token");
+  if (Holder == "?" || Token == 0 || Token > MaxFencingToken) {
+    logError(
+        "lease_unreadable",
+        {{"name", Object.Name}, {"revision", std::to_string(Object.Revision)}});
+    return {.FencingToken = Object.Revision, .Revision = Object.Revision};
+  }
+  return {.Holder = Holder,
+          .Incarnation = textOr(Object.Spec, "incarnation"),
+          .Address = textOr(Object.Spec, "address"),
+          .FencingToken = Token,
+          .Revision = Object.Revision};
 }
 
 pool_leadership::pool_leadership(pool_leadership_options Options)
@@ -79,7 +92,7 @@
 
 void pool_leadership::observeLease(const stored_object &Object) {
   const std::string PreviousHolder = Lease.record().Holder;
-  LeaseAbsent = Object.Removed || Object.Spec.is_null();
+  LeaseAbsent = Object.Removed;
   if (LeaseAbsent)
     Lease.observeAbsent();
   else
@@ -345,7 +358,7 @@
     throw std::invalid_argument("not a lease");
   stored_object Object;
   Object.Spec = Announced;
-  Object.Revision = Announced.value("revision", uint64_t(0));
+  Object.Revision = countOr(Announced, "revision");
   if (Object.Revision > Lease.record().Revision)
     observeLease(Object);
 }
@@ -505,9 +518,8 @@
           return;
         std::vector<std::pair<uint64_t, std::string>> Ranked;
         for (const stored_object &Object : Reply.Objects)
-          if (Object.Spec.is_object())
-            Ranked.emplace_back(rendezvousScore(pool(), Object.Name),
-                                Object.Spec.value("address", ""));
+          Ranked.emplace_back(rendezvousScore(pool(), Object.Name),
+                              textOr(Object.Spec, "address"));
         std::sort(Ranked.rbegin(), Ranked.rend());
         CheckpointServers.clear();
         for (const auto &[Score, Address] : Ranked)
@@ -524,8 +536,7 @@
 size_t pool_leadership::importProgress(std::string_view Document,
                                        std::string_view Source) {
   try {
-    const json Progress =
-        json::parse(Document, nullptr, /*allow_exceptions=*/false);
+    const json Progress = parseBoundedJson(Document);
     Scheduler->importProgress(Progress);
     logInfo("progress_taken", {{"pool", pool()},
                                {"from", std::string(Source)},
@@ -584,14 +595,14 @@
   Object.Spec = SuccessorLease;
   if (!SuccessorLease.is_object() || !SuccessorLease.contains("revision"))
     throw std::invalid_argument("not a lease");
-  Object.Revision = SuccessorLease.value("revision", uint64_t(0));
+  Object.Revision = countOr(SuccessorLease, "revision");
   if (Object.Revision < Lease.record().Revision)
     throw std::invalid_argument("the lease is older than one seen before");
   json Progress =
       Scheduler ? Scheduler->exportProgress() : std::move(FinalProgress);
   dropFinalProgress();
   logInfo("handover_given", {{"pool", pool()},
-                             {"to", SuccessorLease.value("holder", "")},
+                             {"to", textOr(SuccessorLease, "holder")},
                              {"items", std::to_string(Progress.size())}});
   observeLease(Object);
   stopScheduler("handed over");
--- a/jobs/result_log.cpp
+++ b/jobs/result_log.cpp
@@ -1,6 +1,7 @@
 #include "jobs/result_log.h"
 
 #include "base/invariant.h"
+#include "base/log.h"
 
 #include <cstdio>
 #include <stdexcept>
@@ -54,6 +55,17 @@
   return Batch;
 }
 
+std::vector<item_result> result_log::readStoredBatch(std::string_view JobId,
+                                                     const json &Spec) {
+  try {
+    return decodeBatch(Spec);
+  } catch (const std::invalid_argument &Error) {
+    logError("results_unreadable",
+             {{"job", std::string(JobId)}, {"reason", Error.what()}});
+    return {};
+  }
+}
+
 std::string result_log::decodeWriteId(const json &Spec) {
   if (!Spec.is_object())
     return {};
--- a/jobs/result_log.h
+++ b/jobs/result_log.h
@@ -47,6 +47,10 @@
   static bool isClosing(const nlohmann::json &Spec);
   /// Throws std::invalid_argument if the object is malformed.
   static std::vector<item_result> decodeBatch(const nlohmann::json &Spec);
+  /// Like decodeBatch(), but a batch that another writer has stored in an
+  /// invalid form counts as empty, for all readers alike.
+  static std::vector<item_result> readStoredBatch(std::string_view JobId,
+                                                  const nlohmann::json &Spec);
   static std::string decodeWriteId(const nlohmann::json &Spec);
 
   /// Appends the next batch of the sequence. Queued results of the same items
--- a/jobs/result_writer.cpp
+++ b/jobs/result_writer.cpp
@@ -200,7 +200,7 @@
       Options.OnClosedByOther();
     return;
   }
-  std::vector<item_result> Results = result_log::decodeBatch(Spec);
+  std::vector<item_result> Results = result_log::readStoredBatch(JobId, Spec);
   const size_t Count = Results.size();
   Log.append(std::move(Results));
   Options.OnListed(Count);
--- a/server/gateway.cpp
+++ b/server/gateway.cpp
@@ -1,5 +1,6 @@
 #include "server/gateway.h"
 
+#include "base/bounded_json.h"
 #include "base/log.h"
 #include "base/metrics.h"
 #include "gateway/dispatch_gate.h"
@@ -289,7 +290,8 @@
     return Options.Protocols.DecodeReplica(Object);
   } catch (const std::exception &Error) {
     // An entry that cannot be decoded, such as one by another writer, names no
-    // usable replica.
+    // usable replica, even if it did before. The replica's next heartbeat
+    // restores it.
     logInfo("replica_unreadable",
             {{"object", Object.Name}, {"reason", Error.what()}});
     return std::nullopt;
@@ -303,22 +305,25 @@
           .Kind = Options.Protocols.ObjectNames.ReplicaKind,
           .OnSnapshot =
               [this](std::span<const stored_object> All) {
+                const time_point Now = event_loop::now();
                 std::vector<replica> Replicas;
-                for (const stored_object &Object : All)
+                for (const stored_object &Object : All) {
                   if (auto Replica = readReplica(Object))
                     Replicas.push_back(std::move(*Replica));
-                Directory.replaceAll(Replicas, reregistrationDeadline(),
-                                     event_loop::now());
+                  else
+                    Directory.remove(Object.Name, std::nullopt, Now);
+                }
+                Directory.replaceAll(Replicas, reregistrationDeadline(), Now);
               },
           .OnChange =
               [this](const stored_object &Object) {
                 const time_point Now = event_loop::now();
-                const auto Replica =
-                    Object.Removed ? std::nullopt : readReplica(Object);
-                if (Replica)
+                if (Object.Removed)
+                  Directory.remove(Object.Name, reregistrationDeadline(), Now);
+                else if (const auto Replica = readReplica(Object))
                   Directory.update(*Replica, Now);
                 else
-                  Directory.remove(Object.Name, reregistrationDeadline(), Now);
+                  Directory.remove(Object.Name, std::nullopt, Now);
                 for (const auto &[Name, Pool] : Pools)
                   Pool->onReplicasChanged();
               },
@@ -458,7 +463,8 @@
   RetirementTimers.erase(Object.Name);
   const nlohmann::json RetiredStatus =
       Options.Protocols.EncodeRetirementStatus(true);
-  if (Object.Removed || Object.Status == RetiredStatus)
+  if (Object.Removed || !Object.UnreadableReason.empty() ||
+      Object.Status == RetiredStatus)
     return;
   const auto Delay =
       milliseconds(long(random() * double(RetirementJitter.count())));
@@ -565,9 +571,7 @@
                                       pool_leadership *Pool) {
   try {
     if (Pool)
-      Pool->onLeaseAnnounced(nlohmann::json::parse(Exchange->request().Body,
-                                                   nullptr,
-                                                   /*allow_exceptions=*/false));
+      Pool->onLeaseAnnounced(parseBoundedJson(Exchange->request().Body));
     Exchange->respond({.Status = 200, .Headers = {}, .Body = {}});
   } catch (const std::invalid_argument &Error) {
     Exchange->respond({.Status = 400, .Headers = {}, .Body = Error.what()});
@@ -606,8 +610,7 @@
   try {
     if (!Pool)
       throw std::invalid_argument("unknown pool");
-    const nlohmann::json Lease = nlohmann::json::parse(
-        Exchange->request().Body, nullptr, /*allow_exceptions=*/false);
+    const nlohmann::json Lease = parseBoundedJson(Exchange->request().Body);
     Exchange->respond(
         {.Status = 200,
          .Headers = {{"Content-Type", "application/json"}},
--- a/store/async_store_client.h
+++ b/store/async_store_client.h
@@ -60,9 +60,12 @@
 struct stored_object {
   std::string Name;
   uint64_t Revision = 0;
-  /// Null when absent or malformed.
+  /// Null when absent or unreadable.
   nlohmann::json Spec;
   nlohmann::json Status;
+  /// Why the object cannot be decoded, such as one that another writer has
+  /// stored in an invalid form; empty = it can. Name is valid in any case.
+  std::string UnreadableReason;
   /// Watch only: the object was removed.
   bool Removed = false;
 };
--- a/store/object_watcher.cpp
+++ b/store/object_watcher.cpp
@@ -86,6 +86,18 @@
                                             : std::string("none")}});
 }
 
+void object_watcher::reportUnreadable(const stored_object &Object) const {
+  if (Object.UnreadableReason.empty())
+    return;
+  metrics::get()
+      .counter("objects_unreadable_total", "kind", Options.Kind)
+      .add();
+  logInfo("object_unreadable", {{"kind", Options.Kind},
+                                {"name", Object.Name},
+                                {"revision", std::to_string(Object.Revision)},
+                                {"reason", Object.UnreadableReason}});
+}
+
 void object_watcher::list() {
   Listed.clear();
   ListRevision = 0;
@@ -118,6 +130,8 @@
   onConfirmed(Now);
   const std::vector<stored_object> All = std::move(Listed);
   Listed.clear();
+  for (const stored_object &Object : All)
+    reportUnreadable(Object);
   const std::weak_ptr<bool> Weak = Alive;
   Options.OnSnapshot(All);
   if (Weak.expired())
@@ -179,6 +193,7 @@
   onConfirmed(Now);
   const std::weak_ptr<bool> Weak = Alive;
   for (const stored_object &Object : Reply.Objects) {
+    reportUnreadable(Object);
     Options.OnChange(Object);
     if (Weak.expired())
       return;
--- a/store/object_watcher.h
+++ b/store/object_watcher.h
@@ -87,6 +87,7 @@
   void onConfirmed(time_point Now);
   void notifyConfirmed() const;
   void onFailed(const object_reply &Reply, time_point Now);
+  void reportUnreadable(const stored_object &Object) const;
   /// Calls Next once Delay has passed and the store is reachable.
   void scheduleAfter(milliseconds Delay, void (object_watcher::*Next)());
   object_callback
