Send no new work to a replica whose response says that it leaves

Cause: only the store told of departures.

Change: replica_directory::onResponseHead() takes load and departure from the head of each response: unary calls, hedges whose response is discarded, streams, items, scoring calls, reports and orders. The departure belongs to one process (id, start, address); lists and replayed changes do not undo it, and it outlives the entry. Responses to other requests and of other replicas are not counted. A response to a report or an order that carries the id of an earlier request is no longer taken for theirs.

Not tested with processes: items and orders; scheduler_test and replica_directory_test cover items and the list.

--- a/gateway/replica_directory.cpp
+++ b/gateway/replica_directory.cpp
@@ -30,7 +30,12 @@
     remove(Id, GraceUntil, Now);
 }
 
-void replica_directory::update(const replica &Replica, time_point /*Now*/) {
+void replica_directory::update(const replica &Listed, time_point Now) {
+  replica Replica = Listed;
+  if (isLeaving(Replica)) {
+    Replica.Draining = true;
+    Departures.find(Replica.Id)->second.At = Now;
+  }
   const auto It = Entries.find(Replica.Id);
   if (It == Entries.end()) {
     Entries[Replica.Id].Replica = Replica;
@@ -78,7 +83,44 @@
   Entries.erase(It);
 }
 
+bool replica_directory::isLeaving(const replica &Replica) const {
+  const auto It = Departures.find(Replica.Id);
+  return It != Departures.end() &&
+         It->second.StartedAtMs == Replica.StartedAtMs &&
+         It->second.Address == Replica.Address;
+}
+
+void replica_directory::onLeaving(entry &Entry, time_point Now) {
+  replica &Replica = Entry.Replica;
+  Departures[Replica.Id] = {.StartedAtMs = Replica.StartedAtMs,
+                            .Address = Replica.Address,
+                            .At = Now};
+  if (Replica.Draining)
+    return;
+  Replica.Draining = true;
+  log("replica_state", Replica, "leaving, as its response says");
+}
+
+void replica_directory::onResponseHead(std::string_view Id,
+                                       uint64_t StartedAtMs,
+                                       std::string_view RequestId,
+                                       const upstream_head &Head,
+                                       time_point Now) {
+  const auto It = Entries.find(Id);
+  if (It == Entries.end() || It->second.Replica.StartedAtMs != StartedAtMs ||
+      Head.RequestId != RequestId || Head.WrongReplica)
+    return;
+  if (Head.Load)
+    It->second.Load = load_sample{.Report = *Head.Load, .At = Now};
+  if (Head.Leaving)
+    onLeaving(It->second, Now);
+}
+
 void replica_directory::expire(time_point Now) {
+  std::erase_if(Departures, [&](const auto &Item) {
+    return !Entries.contains(Item.first) &&
+           Now - Item.second.At > Options.DepartureRetention;
+  });
   std::erase_if(Entries, [&](const auto &Item) {
     const entry &Entry = Item.second;
     if (!Entry.GraceUntil || Now < *Entry.GraceUntil)
@@ -147,13 +189,6 @@
   It->second.BackoffUntil = {};
 }
 
-void replica_directory::onLoad(std::string_view Id, const load_report &Load,
-                               time_point Now) {
-  const auto It = Entries.find(Id);
-  if (It != Entries.end())
-    It->second.Load = load_sample{.Report = Load, .At = Now};
-}
-
 bool replica_directory::inBackoff(std::string_view Id, time_point Now) const {
   const auto It = Entries.find(Id);
   return It != Entries.end() && Now < It->second.BackoffUntil;
--- a/gateway/replica_directory.h
+++ b/gateway/replica_directory.h
@@ -50,6 +50,9 @@
   milliseconds MaxBackoff{4000};
   /// Consecutive failed calls before the backoff starts.
   unsigned FailureThreshold = 1;
+  /// A process that has said that it is leaving is remembered for this long
+  /// after it was last listed.
+  milliseconds DepartureRetention{600000};
   std::function<void(std::string_view Event, const replica &Replica,
                      const std::string &Detail)>
       Log;
@@ -85,9 +88,18 @@
   [[nodiscard]] bool acceptsWork(std::string_view Id,
                                  uint64_t StartedAtMs) const;
 
+  /// Records what the head of a response says of the replica to which the
+  /// request with RequestId was sent: its load, and whether it is leaving. A
+  /// response to another request or by another replica says nothing.
+  ///
+  /// A replica that has said that it is leaving gets no new work, whatever a
+  /// list says that is older or repeats older entries. That ends only with the
+  /// process.
+  void onResponseHead(std::string_view Id, uint64_t StartedAtMs,
+                      std::string_view RequestId, const upstream_head &Head,
+                      time_point Now);
   void onCallFailed(std::string_view Id, time_point Now);
   void onCallSucceeded(std::string_view Id);
-  void onLoad(std::string_view Id, const load_report &Load, time_point Now);
   /// Whether the replica is in backoff after failed calls.
   [[nodiscard]] bool inBackoff(std::string_view Id, time_point Now) const;
 
@@ -112,11 +124,23 @@
     std::optional<load_sample> Load;
   };
 
+  /// Process that has said that it is leaving.
+  struct departure {
+    uint64_t StartedAtMs = 0;
+    std::string Address;
+    time_point At;
+  };
+
+  void onLeaving(entry &Entry, time_point Now);
+  [[nodiscard]] bool isLeaving(const replica &Replica) const;
   void log(std::string_view Event, const replica &Replica,
            const std::string &Detail) const;
 
   replica_directory_options Options;
   std::map<std::string, entry, std::less<>> Entries;
+  /// By id. Kept after the entry is removed, because an older list may contain
+  /// it again.
+  std::map<std::string, departure, std::less<>> Departures;
 };
 
 } // namespace cardamom
--- a/gateway/replica_directory_test.cpp
+++ b/gateway/replica_directory_test.cpp
@@ -12,6 +12,9 @@
   CPPUNIT_TEST(removalSoonAfterOutageDoesNotExtendGracePeriod);
   CPPUNIT_TEST(restartWithSameIdDiscardsVersions);
   CPPUNIT_TEST(failingReplicaIsAvoidedWhileOthersRemain);
+  CPPUNIT_TEST(responseThatSaysLeavingEndsNewWork);
+  CPPUNIT_TEST(olderListDoesNotUndoDeparture);
+  CPPUNIT_TEST(onlyItsOwnResponseSaysThatReplicaLeaves);
   CPPUNIT_TEST_SUITE_END();
 
   static time_point at(int Ms) { return time_point(milliseconds(Ms)); }
@@ -25,7 +28,59 @@
             .Versions = {{"m", 1}}};
   }
 
+  static upstream_head leavingHead() {
+    upstream_head Head;
+    Head.RequestId = "q";
+    Head.Leaving = true;
+    return Head;
+  }
+
 public:
+  // Guards against new work for a replica whose departure a process that cannot
+  // reach the store has learnt only from a response.
+  void responseThatSaysLeavingEndsNewWork() {
+    replica_directory Directory({});
+    Directory.update(make("r"), at(0));
+    Directory.onResponseHead("r", 1, "q", leavingHead(), at(1));
+    CPPUNIT_ASSERT(Directory.usable("s", at(1)).empty());
+    CPPUNIT_ASSERT(!Directory.acceptsWork("r", 1));
+    // Its entry may expire while the store is away, without a grace period.
+    Directory.remove("r", /*GraceUntil=*/at(3000), at(2));
+    CPPUNIT_ASSERT(!Directory.find("r"));
+  }
+
+  // Guards against a list or a replayed change that is older than the response.
+  void olderListDoesNotUndoDeparture() {
+    replica_directory Directory({});
+    const std::vector<replica> Listed = {make("r")};
+    Directory.update(Listed.front(), at(0));
+    Directory.onResponseHead("r", 1, "q", leavingHead(), at(1));
+    Directory.update(Listed.front(), at(2));
+    CPPUNIT_ASSERT(!Directory.acceptsWork("r", 1));
+    Directory.remove("r", std::nullopt, at(3));
+    Directory.expire(at(60000));
+    Directory.replaceAll(Listed, std::nullopt, at(60001));
+    CPPUNIT_ASSERT(!Directory.acceptsWork("r", 1));
+    CPPUNIT_ASSERT(Directory.usable("s", at(60001)).empty());
+    replica Restarted = make("r");
+    Restarted.StartedAtMs = 2;
+    Directory.update(Restarted, at(60002));
+    CPPUNIT_ASSERT(Directory.acceptsWork("r", 2));
+  }
+
+  // Guards against a replica that gets no work because of a response by another
+  // one at its address, by an earlier process, or to another request.
+  void onlyItsOwnResponseSaysThatReplicaLeaves() {
+    replica_directory Directory({});
+    Directory.update(make("r"), at(0));
+    upstream_head Misdirected = leavingHead();
+    Misdirected.WrongReplica = true;
+    Directory.onResponseHead("r", 1, "q", Misdirected, at(1));
+    Directory.onResponseHead("r", 1, "other", leavingHead(), at(1));
+    Directory.onResponseHead("r", 0, "q", leavingHead(), at(1));
+    CPPUNIT_ASSERT(Directory.acceptsWork("r", 1));
+  }
+
   void drainingReplicaGetsNoWork() {
     replica_directory Directory({});
     replica Replica = make("r");
--- a/gateway/stream_client.cpp
+++ b/gateway/stream_client.cpp
@@ -49,6 +49,7 @@
   stream_plan Plan;
   std::vector<std::string> TriedReplicas;
   std::string ReplicaId;
+  uint64_t ReplicaStartedAtMs = 0;
   call_handle Call;
   std::optional<event_parser> Parser;
   upstream_head Head;
@@ -87,6 +88,7 @@
     return;
   }
   ReplicaId = Replica->Id;
+  ReplicaStartedAtMs = Replica->StartedAtMs;
   TriedReplicas.push_back(ReplicaId);
   Plan.onSent();
   Options.Router.onDispatch(ReplicaId, {}, Now);
@@ -124,8 +126,9 @@
 void stream_call::onHead(const http_response &Response) {
   static constexpr unsigned StatusOk = 200;
   Head = Options.Protocol.Decode(Response);
-  if (Head.Load)
-    Options.Directory.onLoad(ReplicaId, *Head.Load, event_loop::now());
+  Options.Directory.onResponseHead(ReplicaId, ReplicaStartedAtMs,
+                                   Request.UpstreamRequest.RequestId, Head,
+                                   event_loop::now());
   if (Head.RequestId != Request.UpstreamRequest.RequestId ||
       Head.ContentEncoded)
     return endAttempt(stream_attempt_end::Broken, "foreign or encoded answer");
--- a/gateway/unary_client.cpp
+++ b/gateway/unary_client.cpp
@@ -45,6 +45,7 @@
 private:
   struct attempt {
     std::string ReplicaId;
+    uint64_t ReplicaStartedAtMs = 0;
     time_point SentAt;
     call_handle Call;
     std::optional<upstream_head> Head;
@@ -146,6 +147,7 @@
   Outgoing.Timeout = std::chrono::floor<milliseconds>(Request.Deadline - Now);
   attempt &Attempt = Attempts.emplace_back();
   Attempt.ReplicaId = Replica->Id;
+  Attempt.ReplicaStartedAtMs = Replica->StartedAtMs;
   Attempt.SentAt = Now;
   Attempt.Call = Options.Client.send(
       Replica->Address, Options.Protocol.Encode(Outgoing),
@@ -161,9 +163,9 @@
 
 void unary_call::onHead(attempt &Attempt, const http_response &Head) {
   Attempt.Head = Options.Protocol.Decode(Head);
-  if (Attempt.Head->Load)
-    Options.Directory.onLoad(Attempt.ReplicaId, *Attempt.Head->Load,
-                             event_loop::now());
+  Options.Directory.onResponseHead(
+      Attempt.ReplicaId, Attempt.ReplicaStartedAtMs,
+      Request.UpstreamRequest.RequestId, *Attempt.Head, event_loop::now());
   // A late response to an earlier request, or one whose body was encoded on the
   // way. Destroying the call closes the connection.
   if (Attempt.Head->RequestId != Request.UpstreamRequest.RequestId)
--- a/gateway/upstream_request.h
+++ b/gateway/upstream_request.h
@@ -55,6 +55,8 @@
   bool WrongReplica = false;
   /// The body has a content encoding, so it is not as the replica sent it.
   bool ContentEncoded = false;
+  /// The replica is leaving and must get no new work.
+  bool Leaving = false;
   std::optional<load_report> Load;
   std::optional<uint64_t> WeightVersion;
 };
--- a/jobs/item_run.cpp
+++ b/jobs/item_run.cpp
@@ -54,8 +54,8 @@
 
 void item_run::onHead(const http_response &Response) {
   const upstream_head Head = Options.Protocol.Decode(Response);
-  if (Head.Load && Options.OnLoad)
-    Options.OnLoad(*Head.Load);
+  if (Options.OnHead)
+    Options.OnHead(Head);
   if (Head.RequestId != RequestId)
     return end(item_run_outcome::Broken, "response to another request");
   const std::string Status = "status " + std::to_string(Head.Status);
--- a/jobs/item_run.h
+++ b/jobs/item_run.h
@@ -79,7 +79,8 @@
   /// Called with the version in the response headers and with that of each
   /// event that has one.
   std::function<void(uint64_t)> OnVersion;
-  std::function<void(const load_report &)> OnLoad;
+  /// Called with the head of the response, whatever it is.
+  std::function<void(const upstream_head &)> OnHead;
 };
 
 class item_run {
--- a/jobs/job_scheduler.cpp
+++ b/jobs/job_scheduler.cpp
@@ -544,9 +544,11 @@
           [this, ReplicaId, Model = Job.Model](uint64_t Version) {
             Options.Directory.setVersion(ReplicaId, Model, Version);
           },
-      .OnLoad =
-          [this, ReplicaId](const load_report &Load) {
-            Options.Directory.onLoad(ReplicaId, Load, event_loop::now());
+      .OnHead =
+          [this, ReplicaId, StartedAtMs = Replica.StartedAtMs,
+           RequestId = Item.Item->Id](const upstream_head &Head) {
+            Options.Directory.onResponseHead(ReplicaId, StartedAtMs, RequestId,
+                                             Head, event_loop::now());
           }};
   logInfo("item_started",
           {{"job", Job.Id},
--- a/jobs/weight_updater.cpp
+++ b/jobs/weight_updater.cpp
@@ -111,11 +111,13 @@
   Change->Call = Options.Client.fetch(
       Replica->Address, Options.Protocols.EncodeReportRequest(ReplicaId),
       Options.CallTimeout,
-      [this, ReplicaId](const call_completion &End,
-                        const http_response &Response) {
+      [this, ReplicaId, StartedAtMs = Replica->StartedAtMs](
+          const call_completion &End, const http_response &Response) {
         try {
           if (End.Result != call_result::Complete)
             throw std::invalid_argument(std::string(toString(End.Result)));
+          if (!belongsToReplica(ReplicaId, StartedAtMs, Response))
+            throw std::invalid_argument("response to another request");
           onReport(ReplicaId, Options.Protocols.DecodeReplicaReport(Response));
         } catch (const std::invalid_argument &Error) {
           logInfo("report_failed",
@@ -126,6 +128,15 @@
       });
 }
 
+bool weight_updater::belongsToReplica(const std::string &ReplicaId,
+                                      uint64_t StartedAtMs,
+                                      const http_response &Response) {
+  const upstream_head Head = Options.Protocols.Upstream.Decode(Response);
+  Options.Directory.onResponseHead(ReplicaId, StartedAtMs, /*RequestId=*/{},
+                                   Head, event_loop::now());
+  return Head.RequestId.empty();
+}
+
 void weight_updater::onReport(const std::string &ReplicaId,
                               const replica_report &Report) {
   pending_change *Change = findChange(ReplicaId);
@@ -194,13 +205,16 @@
   Change->Call = Options.Client.fetch(
       Replica->Address, Options.Protocols.EncodeOrder(Order),
       Options.CallTimeout,
-      [this, ReplicaId](const call_completion &End,
-                        const http_response &Response) {
+      [this, ReplicaId, StartedAtMs = Replica->StartedAtMs](
+          const call_completion &End, const http_response &Response) {
         if (End.Result == call_result::Withheld) {
           endChange(ReplicaId);
           return;
         }
-        onOrderAnswer(ReplicaId, End.Result == call_result::Complete
+        const bool Answered =
+            End.Result == call_result::Complete &&
+            belongsToReplica(ReplicaId, StartedAtMs, Response);
+        onOrderAnswer(ReplicaId, Answered
                                      ? Options.Protocols.DecodeOrder(Response)
                                      : order_outcome::Unknown);
       },
--- a/jobs/weight_updater.h
+++ b/jobs/weight_updater.h
@@ -92,6 +92,10 @@
   void plan();
   void startChange(const std::string &ReplicaId, weight_change Planned);
   void requestReport(const std::string &ReplicaId);
+  /// Records the head of a response to a report request or an order, which have
+  /// no id. Returns false for a late response to an earlier request.
+  bool belongsToReplica(const std::string &ReplicaId, uint64_t StartedAtMs,
+                        const http_response &Response);
   void onReport(const std::string &ReplicaId, const replica_report &Report);
   void sendOrder(const std::string &ReplicaId, const replica_report &Report);
   void onOrderAnswer(const std::string &ReplicaId, order_outcome Outcome);
