Continue a stream only with events of the same kind that follow the last one

Cause: after a stream broke off, a response of status 200 with another content type could continue it, or end it as if it were complete. When a caller itself resumed a stream, the first event was not checked against the position it asked for, so that a replica that ignores the position repeated events. Any stream was cut after 2 s without an event, although the caller of a route with a target latency above 500 ms waits longer.

Change: a resumption must have the content type of the response that was forwarded; the plan starts at the caller's position; the gap allowed on a stream that cannot be resumed elsewhere follows the target latency.

--- a/gateway/stream_client.cpp
+++ b/gateway/stream_client.cpp
@@ -25,7 +25,9 @@
         Plan({.Resumable = this->Request.Resumable,
               .MaxAttempts = this->Request.MaxAttempts,
               .FirstEventDeadline = this->Request.FirstEventDeadline,
-              .MaxEventGap = this->Request.MaxEventGap}) {}
+              .MaxEventGap = this->Request.MaxEventGap,
+              .ResumeAfterEvent =
+                  this->Request.UpstreamRequest.ResumeAfterEvent}) {}
   ~stream_call() {
     if (Call)
       Options.Router.onAbandon(ReplicaId, {}, event_loop::now());
@@ -54,6 +56,8 @@
   std::optional<event_parser> Parser;
   upstream_head Head;
   std::string ErrorBody;
+  /// Of the response that has been forwarded last.
+  std::string ContentType;
   bool HeadForwarded = false;
   bool Streaming = false;
   bool AttemptEnded = false;
@@ -138,6 +142,11 @@
     return;
   if (Head.Signature.empty())
     return endAttempt(stream_attempt_end::Broken, "unsigned answer");
+  // The response that the caller gets is that of the first replica.
+  const std::string_view Type = Head.Headers.get("Content-Type");
+  if (HeadForwarded && Type != ContentType)
+    return endAttempt(stream_attempt_end::Broken, "other content type");
+  ContentType = Type;
   Streaming = true;
 }
 
--- a/gateway/test_environment.h
+++ b/gateway/test_environment.h
@@ -48,8 +48,10 @@
           },
       .Decode =
           [](const http_response &Response) {
-            return upstream_head{
-                .Status = Response.Status, .RequestId = "r", .Signature = "s"};
+            return upstream_head{.Status = Response.Status,
+                                 .Headers = Response.Headers,
+                                 .RequestId = "r",
+                                 .Signature = "s"};
           }};
   unary_client UnaryClient{{.Loop = Loop,
                             .Client = Client,
--- a/policy/stream_plan.cpp
+++ b/policy/stream_plan.cpp
@@ -1,7 +1,15 @@
 #include "policy/stream_plan.h"
 
+#include <algorithm>
+
 namespace cardamom {
 
+milliseconds maxEventGap(bool Resumable, milliseconds TargetLatency) {
+  static constexpr milliseconds MinGap{2000};
+  static constexpr int TargetLatencies = 4;
+  return Resumable ? MinGap : std::max(MinGap, TargetLatency * TargetLatencies);
+}
+
 bool stream_plan::onEvent(std::optional<uint64_t> Number, time_point Now) {
   if (Options.Resumable && !Number)
     return false;
--- a/policy/stream_plan.h
+++ b/policy/stream_plan.h
@@ -31,8 +31,15 @@
   time_point FirstEventDeadline;
   /// Maximum time between two events.
   milliseconds MaxEventGap{2000};
+  /// Last event that the caller already has.
+  std::optional<uint64_t> ResumeAfterEvent;
 };
 
+/// Returns the time without an event after which a stream has stalled, the time
+/// after which its caller gives it up: two seconds or four times the target
+/// latency. A resumable stream goes on elsewhere after two seconds in any case.
+milliseconds maxEventGap(bool Resumable, milliseconds TargetLatency);
+
 /// How an attempt to stream from one replica ended.
 enum class stream_attempt_end {
   /// The replica reported that the stream is complete.
@@ -60,7 +67,8 @@
 
 class stream_plan {
 public:
-  explicit stream_plan(const stream_plan_options &Options) : Options(Options) {}
+  explicit stream_plan(const stream_plan_options &Options)
+      : Options(Options), LastEvent(Options.ResumeAfterEvent) {}
 
   void onSent() { ++SentAttempts; }
   /// The attempt ended before its request was sent; it does not count.
--- a/policy/stream_plan_test.cpp
+++ b/policy/stream_plan_test.cpp
@@ -11,6 +11,8 @@
   CPPUNIT_TEST(repeatsRequestThatHasNotRun);
   CPPUNIT_TEST(rejectsEventsOutOfOrder);
   CPPUNIT_TEST(detectsOverdueStream);
+  CPPUNIT_TEST(continuesAfterTheEventThatTheCallerHas);
+  CPPUNIT_TEST(slowStreamMayPauseAsLongAsItsCallerWaits);
   CPPUNIT_TEST_SUITE_END();
 
   static time_point at(int Ms) { return time_point(milliseconds(Ms)); }
@@ -35,6 +37,19 @@
                    stream_step::Finish);
   }
 
+  void continuesAfterTheEventThatTheCallerHas() {
+    stream_plan Plan({.Resumable = true, .ResumeAfterEvent = 5});
+    CPPUNIT_ASSERT(!Plan.onEvent(1, at(10)));
+    CPPUNIT_ASSERT(Plan.onEvent(6, at(10)));
+  }
+
+  // Guards against a slow but sound stream that is cut.
+  void slowStreamMayPauseAsLongAsItsCallerWaits() {
+    CPPUNIT_ASSERT(maxEventGap(false, milliseconds(400)) == milliseconds(2000));
+    CPPUNIT_ASSERT(maxEventGap(false, milliseconds(900)) == milliseconds(3600));
+    CPPUNIT_ASSERT(maxEventGap(true, milliseconds(900)) == milliseconds(2000));
+  }
+
   // Guards against a response that consists of parts of two runs.
   void abortsNonResumableStream() {
     stream_plan Plan = plan(false);
--- a/server/request_handler.cpp
+++ b/server/request_handler.cpp
@@ -7,6 +7,7 @@
 #include "gateway/unary_client.h"
 #include "http/event_loop.h"
 #include "jobs/job_request_handler.h"
+#include "policy/stream_plan.h"
 
 #include <algorithm>
 #include <cstdio>
@@ -201,7 +202,8 @@
        .Service = chooseService(Route),
        .Resumable = Route.Resumable,
        .MaxAttempts = Route.MaxAttempts,
-       .FirstEventDeadline = Exchange->receivedAt() + Limit},
+       .FirstEventDeadline = Exchange->receivedAt() + Limit,
+       .MaxEventGap = maxEventGap(Route.Resumable, Route.TargetLatency)},
       {.OnHead =
            [Exchange](const upstream_head &Head) {
              Exchange->startStream(
