Read the store's responses with the bounded client in entries and agents

Change: http_pool sends its requests with the client of the gateways, each on an event loop that runs only while the request is in progress.

store.endless_store_response_test (unchanged) and store_client_test pass.

--- a/store/http_pool.h
+++ b/store/http_pool.h
@@ -1,50 +1,64 @@
 /// \file
-/// Pool of persistent HTTP connections to one address.
+/// Pool of persistent HTTP connections to one address, for threads that wait
+/// for each response.
 
 #ifndef CARDAMOM_STORE_HTTP_POOL_H
 #define CARDAMOM_STORE_HTTP_POOL_H
 
-#include "base/identifier.h"
 #include "base/time.h"
+#include "http/http_client.h"
+#include "http/http_message.h"
 
 #include <condition_variable>
-#include <functional>
-#include <httplib.h>
 #include <memory>
 #include <mutex>
+#include <string>
 #include <vector>
 
 namespace cardamom {
 
-/// Thread-safe. Each request has exclusive use of a connection; up to MaxIdle
-/// connections stay open between requests.
+/// How a request ended; Response is valid if Result is Complete.
+struct pool_result {
+  call_result Result = call_result::NoResponse;
+  std::string Detail;
+  http_response Response;
+};
+
+struct http_pool_options {
+  /// "IP:port".
+  std::string Address;
+  milliseconds ConnectTimeout{2000};
+  /// Limit on connections that stay open between requests.
+  size_t MaxIdle = 4;
+  /// A larger body ends the request as invalid.
+  size_t MaxBodyBytes = size_t(16) << 20;
+};
+
+/// Thread-safe. Each request has exclusive use of a connection.
 class http_pool {
 public:
-  http_pool(ip_port Address, milliseconds Timeout, size_t MaxIdle);
-
-  using request_function = std::function<httplib::Result(httplib::Client &)>;
+  explicit http_pool(http_pool_options Options);
+  ~http_pool();
 
-  /// Runs Request on a connection; each read waits up to ReadTimeout. Returns
-  /// Error::Canceled after stop().
-  httplib::Result run(milliseconds ReadTimeout,
-                      const request_function &Request);
+  /// Sends Request and waits up to Timeout for the whole response. Ends with
+  /// NoResponse after stop().
+  pool_result run(const http_request &Request, milliseconds Timeout);
 
   /// Aborts requests in progress and rejects all later ones. Returns when none
   /// is in progress.
   void stop();
 
 private:
-  std::unique_ptr<httplib::Client> acquire();
-  void release(std::unique_ptr<httplib::Client> Client, bool Reusable);
-  [[nodiscard]] std::unique_ptr<httplib::Client> connect() const;
+  class blocking_client;
+
+  std::shared_ptr<blocking_client> acquire();
+  void release(const std::shared_ptr<blocking_client> &Client, bool Reusable);
 
-  const ip_port Address;
-  const milliseconds Timeout;
-  const size_t MaxIdle;
+  const http_pool_options Options;
   std::mutex Mutex;
   std::condition_variable Released;
-  std::vector<std::unique_ptr<httplib::Client>> Idle;
-  std::vector<httplib::Client *> Busy;
+  std::vector<std::shared_ptr<blocking_client>> Idle;
+  std::vector<std::shared_ptr<blocking_client>> Busy;
   bool Stopped = false;
 };
 
--- a/store/store_client.cpp
+++ b/store/store_client.cpp
@@ -54,23 +54,26 @@
   return objectPath(Key) + "?if_version=" + std::to_string(IfVersion);
 }
 
-milliseconds retryAfter(const httplib::Response &Response) {
-  const auto Seconds =
-      parseWholeNumber(Response.get_header_value("Retry-After"));
+milliseconds retryAfter(const http_response &Response) {
+  const auto Seconds = parseWholeNumber(Response.Headers.get("Retry-After"));
   if (!Seconds)
     return DefaultRetryAfter;
   return milliseconds(std::min(*Seconds, MaxRetryAfterSeconds) * 1000);
 }
 
+bool isComplete(const pool_result &Call, unsigned Status) {
+  return Call.Result == call_result::Complete && Call.Response.Status == Status;
+}
+
 /// Result when no response was read. A write that failed to connect has had no
 /// effect; after that its effect is unknown.
-store_result noResponse(httplib::Error Error, call_kind Kind) {
-  const bool NotSent = Error == httplib::Error::Connection ||
-                       Error == httplib::Error::ConnectionTimeout;
+store_result noResponse(const pool_result &Call, call_kind Kind) {
+  const bool NotSent = Call.Result == call_result::NotConnected;
   store_result Result;
   Result.Status = NotSent || Kind == call_kind::Read ? store_status::Unavailable
                                                      : store_status::Unknown;
-  Result.Message = "no response: " + httplib::to_string(Error);
+  Result.Message =
+      "no response: " + std::string(toString(Call.Result)) + ": " + Call.Detail;
   if (Result.Status == store_status::Unavailable)
     Result.RetryAfter = DefaultRetryAfter;
   return Result;
@@ -85,14 +88,13 @@
 
 /// Result for a status that the API does not define for the call. Only 4xx, 501
 /// and 503 guarantee that a write had no effect.
-store_result unexpectedStatus(const httplib::Response &Response,
-                              call_kind Kind) {
-  const bool Refused = Response.status == 503 || Response.status == 501 ||
-                       (Response.status >= 400 && Response.status < 500);
+store_result unexpectedStatus(const http_response &Response, call_kind Kind) {
+  const bool Refused = Response.Status == 503 || Response.Status == 501 ||
+                       (Response.Status >= 400 && Response.Status < 500);
   store_result Result;
   Result.Status = Refused || Kind == call_kind::Read ? store_status::Unavailable
                                                      : store_status::Unknown;
-  Result.Message = "HTTP status " + std::to_string(Response.status);
+  Result.Message = "HTTP status " + std::to_string(Response.Status);
   Result.RetryAfter = retryAfter(Response);
   return Result;
 }
@@ -107,11 +109,11 @@
          Object["value"].is_string();
 }
 
-json parseBody(const httplib::Response &Response) {
-  return json::parse(Response.body, nullptr, false);
+json parseBody(const http_response &Response) {
+  return json::parse(Response.Body, nullptr, false);
 }
 
-store_result toObjectResult(const httplib::Response &Response) {
+store_result toObjectResult(const http_response &Response) {
   json Object = parseBody(Response);
   if (!hasVersionAndValue(Object))
     return malformedResponse(call_kind::Read);
@@ -120,37 +122,36 @@
           .Value = std::move(Object["value"].get_ref<std::string &>())};
 }
 
-store_result toReadResult(const httplib::Result &Response) {
-  if (!Response)
-    return noResponse(Response.error(), call_kind::Read);
-  if (Response->status == 200)
-    return toObjectResult(*Response);
-  if (Response->status == 404)
+store_result toReadResult(const pool_result &Call) {
+  if (Call.Result != call_result::Complete)
+    return noResponse(Call, call_kind::Read);
+  if (Call.Response.Status == 200)
+    return toObjectResult(Call.Response);
+  if (Call.Response.Status == 404)
     return {.Status = store_status::NotFound};
-  return unexpectedStatus(*Response, call_kind::Read);
+  return unexpectedStatus(Call.Response, call_kind::Read);
 }
 
 /// The body of a 200 or 409 response to a write is {"version"}; 200 to a delete
 /// may lack it.
-store_result toWriteResult(const httplib::Result &Response, bool NeedsVersion) {
-  if (!Response)
-    return noResponse(Response.error(), call_kind::Write);
-  const int Status = Response->status;
+store_result toWriteResult(const pool_result &Call, bool NeedsVersion) {
+  if (Call.Result != call_result::Complete)
+    return noResponse(Call, call_kind::Write);
+  const unsigned Status = Call.Response.Status;
   if (Status != 200 && Status != 409)
-    return unexpectedStatus(*Response, call_kind::Write);
-  const json Body = parseBody(*Response);
+    return unexpectedStatus(Call.Response, call_kind::Write);
+  const json Body = parseBody(Call.Response);
   if (!hasVersion(Body) && (NeedsVersion || Status == 409))
     return malformedResponse(call_kind::Write);
   return {.Status = Status == 200 ? store_status::Ok : store_status::Conflict,
           .Version = hasVersion(Body) ? Body["version"].get<uint64_t>() : 0};
 }
 
-ip_port parseStoreAddress(const std::string &Address) {
-  auto Parsed = parseIpPort(Address);
-  if (!Parsed)
+std::string checkedAddress(const std::string &Address) {
+  if (!parseIpPort(Address))
     throw std::invalid_argument("invalid store address \"" + Address +
                                 "\": expected " + std::string(IpPortFormat));
-  return *std::move(Parsed);
+  return Address;
 }
 
 template <typename T> T countResult(T Result) {
@@ -182,16 +183,27 @@
 
 struct store_client::state {
   explicit state(const store_client_options &Options)
-      : Timeout(Options.Timeout), CallPool(parseStoreAddress(Options.Address),
-                                           Options.Timeout, MaxIdleClients),
-        WatchPool(parseStoreAddress(Options.Address), Options.Timeout,
-                  MaxIdleWatchClients) {}
-
-  httplib::Result get(const std::string &Path) {
-    return CallPool.run(
-        Timeout, [&](httplib::Client &Client) { return Client.Get(Path); });
+      : Address(checkedAddress(Options.Address)), Timeout(Options.Timeout),
+        CallPool({.Address = Address,
+                  .ConnectTimeout = Timeout,
+                  .MaxIdle = MaxIdleClients}),
+        WatchPool({.Address = Address,
+                   .ConnectTimeout = Timeout,
+                   .MaxIdle = MaxIdleWatchClients}) {}
+
+  [[nodiscard]] http_request request(std::string Method,
+                                     std::string Path) const {
+    return {.Method = std::move(Method),
+            .Target = std::move(Path),
+            .Headers = {{"Host", Address}},
+            .Body = {}};
+  }
+
+  pool_result get(std::string Path) {
+    return CallPool.run(request("GET", std::move(Path)), Timeout);
   }
 
+  const std::string Address;
   const milliseconds Timeout;
   http_pool CallPool;
   http_pool WatchPool;
@@ -213,27 +225,24 @@
         store_result{.Status = store_status::Unavailable,
                      .Message = "value of " + std::to_string(Value.size()) +
                                 " bytes exceeds the limit of 1000000"});
-  const std::string Path = conditionalPath(Key, IfVersion);
-  const auto Response =
-      State->CallPool.run(State->Timeout, [&](httplib::Client &Client) {
-        return Client.Put(Path, Value.data(), Value.size(), ValueType);
-      });
-  return countResult(toWriteResult(Response, true));
+  http_request Request = State->request("PUT", conditionalPath(Key, IfVersion));
+  Request.Headers.add("Content-Type", ValueType);
+  Request.Body = Value;
+  return countResult(
+      toWriteResult(State->CallPool.run(Request, State->Timeout), true));
 }
 
 store_result store_client::remove(std::string_view Key, uint64_t IfVersion) {
-  const std::string Path = conditionalPath(Key, IfVersion);
-  const auto Response =
-      State->CallPool.run(State->Timeout, [&](httplib::Client &Client) {
-        return Client.Delete(Path);
-      });
-  if (Response && Response->status == 404)
+  const pool_result Call = State->CallPool.run(
+      State->request("DELETE", conditionalPath(Key, IfVersion)),
+      State->Timeout);
+  if (isComplete(Call, 404))
     return countResult(store_result{.Status = store_status::NotFound});
-  return countResult(toWriteResult(Response, false));
+  return countResult(toWriteResult(Call, false));
 }
 
 store_list_result store_client::list(std::string_view Prefix) {
-  const auto Response = State->get("/v1/objects?prefix=" + encode(Prefix));
+  const pool_result Call = State->get("/v1/objects?prefix=" + encode(Prefix));
   store_list_result Result;
   const auto Fail = [&](const store_result &Reason) {
     Result = {.Status = Reason.Status,
@@ -241,11 +250,11 @@
               .RetryAfter = Reason.RetryAfter};
     return countResult(std::move(Result));
   };
-  if (!Response)
-    return Fail(noResponse(Response.error(), call_kind::Read));
-  if (Response->status != 200)
-    return Fail(unexpectedStatus(*Response, call_kind::Read));
-  const json Body = parseBody(*Response);
+  if (Call.Result != call_result::Complete)
+    return Fail(noResponse(Call, call_kind::Read));
+  if (Call.Response.Status != 200)
+    return Fail(unexpectedStatus(Call.Response, call_kind::Read));
+  const json Body = parseBody(Call.Response);
   if (!Body.is_object() || !Body.contains("objects") ||
       !Body["objects"].is_array())
     return Fail(malformedResponse(call_kind::Read));
@@ -266,28 +275,26 @@
   const std::string Path = "/v1/watch/" + encode(Key) +
                            "?after=" + std::to_string(After) +
                            "&wait_ms=" + std::to_string(Wait.count());
-  const auto Response =
-      State->WatchPool.run(Wait + State->Timeout, [&](httplib::Client &Client) {
-        return Client.Get(Path);
-      });
-  if (Response && Response->status == 304)
+  const pool_result Call =
+      State->WatchPool.run(State->request("GET", Path), Wait + State->Timeout);
+  if (isComplete(Call, 304))
     return countResult(
         store_result{.Status = store_status::Unchanged, .Version = After});
-  return countResult(toReadResult(Response));
+  return countResult(toReadResult(Call));
 }
 
 void store_client::stopWatches() { State->WatchPool.stop(); }
 
 store_result store_client::vms() {
-  const auto Response = State->get("/v1/vms");
-  if (!Response || Response->status != 200)
-    return countResult(toReadResult(Response));
-  const json Body = parseBody(*Response);
+  const pool_result Call = State->get("/v1/vms");
+  if (!isComplete(Call, 200))
+    return countResult(toReadResult(Call));
+  const json Body = parseBody(Call.Response);
   if (!hasVersion(Body))
     return countResult(malformedResponse(call_kind::Read));
   return countResult(store_result{.Status = store_status::Ok,
                                   .Version = Body["version"].get<uint64_t>(),
-                                  .Value = Response->body});
+                                  .Value = Call.Response.Body});
 }
 
 } // namespace cardamom
