Grant no grace period after refusals because of the store's rate limit

Cause: refusals that lasted longer than an entry needs to expire counted as an outage in which entries can expire, so that a replica whose entry was removed soon after stayed usable for 2.2 s. But a store that answers 429 is up, and entries do not expire because of it.

Change: a reply says whether it was refused because of the rate limit; an outage with no other failure has no length.

--- a/store/async_store_client.cpp
+++ b/store/async_store_client.cpp
@@ -79,6 +79,7 @@
                                             time_point SentAt) {
   const time_point Now = event_loop::now();
   if (!showsReachability(Reply.Outcome)) {
+    OnlyRateLimited = (Reachable || OnlyRateLimited) && Reply.RateLimited;
     if (!Reachable)
       return;
     Reachable = false;
@@ -93,7 +94,8 @@
   LastAnsweredSentAt = std::max(LastAnsweredSentAt, SentAt);
   if (Reachable)
     return;
-  LongestOutage = Now - PreviousSentAt;
+  LongestOutage =
+      OnlyRateLimited ? time_point::duration{0} : Now - PreviousSentAt;
   Reachable = true;
   OutageEndedAt = Now;
   ProbeTimer.reset();
--- a/store/async_store_client.h
+++ b/store/async_store_client.h
@@ -97,6 +97,8 @@
   /// List and Watch: revision of the store.
   uint64_t StoreRevision = 0;
   std::string Detail;
+  /// The store refused the request because of its rate limit, so it is up.
+  bool RateLimited = false;
 };
 
 using object_callback = std::function<void(const object_reply &)>;
@@ -135,7 +137,8 @@
   [[nodiscard]] time_point outageStartedAt() const { return OutageStartedAt; }
   /// Upper bound on the length of the most recent outage: the time from the
   /// last call that was sent before it and succeeded to the first response
-  /// after it. A watch that was sent before may be answered in between.
+  /// after it. A watch that was sent before may be answered in between. Zero if
+  /// the store only refused calls because of its rate limit.
   [[nodiscard]] time_point::duration longestOutage() const {
     return LongestOutage;
   }
@@ -159,6 +162,9 @@
   time_point OutageStartedAt{};
   time_point OutageEndedAt{};
   time_point::duration LongestOutage{0};
+  /// Whether each failure of the current outage was a refusal because of the
+  /// rate limit.
+  bool OnlyRateLimited = true;
   uint64_t CallCount = 0;
 };
 
