Start items only while it is known which jobs have ended

Cause: a process that was suspended checked after resuming that its list of replicas was current before it started items, but not its list of jobs. It could start items of a job whose end had been acknowledged meanwhile.

Change: the scheduler starts and moves items only if its list of jobs is not older than its maximum age, or the store does not respond. Otherwise it has the list renewed first.

scheduler_test.itemsWaitUntilEndedJobsAreKnown: without the check, all items start at once; with it, those of the ended job never do.

--- a/jobs/job_scheduler.cpp
+++ b/jobs/job_scheduler.cpp
@@ -415,6 +415,8 @@
   }
   if (Waiting.empty())
     return;
+  if (Options.JobsAreCurrent && !Options.JobsAreCurrent(Now))
+    return;
   if (!Options.Gate.mayChoose(Now)) {
     Options.Gate.whenOpen(
         [this, Guard = makeAliveGuard()] { Guard([&] { scheduleSoon(); }); });
@@ -455,7 +457,8 @@
 /// Moves items from replicas that have become slow to replicas on which they
 /// are expected to finish sooner.
 void job_scheduler::moveSlowItems(time_point Now) {
-  if (!Options.Gate.mayChoose(Now))
+  if (!Options.Gate.mayChoose(Now) ||
+      (Options.JobsAreCurrent && !Options.JobsAreCurrent(Now)))
     return;
   std::vector<const replica *> Replicas =
       Options.Directory.usable(Options.Pool, Now);
--- a/jobs/job_scheduler.h
+++ b/jobs/job_scheduler.h
@@ -66,6 +66,10 @@
   /// Whether the replica is changing the weights of the model.
   std::function<bool(std::string_view Replica, std::string_view Model)>
       IsChangingWeights;
+  /// Whether the process knows which jobs have ended up to a short time ago.
+  /// Otherwise it starts a renewal of that knowledge, after which it calls
+  /// scheduleSoon(). Null = always.
+  std::function<bool(time_point Now)> JobsAreCurrent;
   /// Called when another scheduler has written results. Calls OnConfirmed once
   /// the store has confirmed that this process still holds the pool's lease,
   /// otherwise never.
--- a/jobs/pool_leadership.cpp
+++ b/jobs/pool_leadership.cpp
@@ -398,6 +398,13 @@
                                               std::string_view Model) {
     return WeightUpdater && WeightUpdater->isChanging(Replica, Model);
   };
+  SchedulerOptions.JobsAreCurrent = [this](time_point Now) {
+    if (!JobWatcher || !Options.Scheduler.Store.reachable() ||
+        Now - JobWatcher->confirmedAt() <= JobMaxAge)
+      return true;
+    JobWatcher->renew();
+    return false;
+  };
   SchedulerOptions.ConfirmLease = [this](std::function<void()> OnConfirmed) {
     confirmLease(std::move(OnConfirmed));
   };
@@ -628,6 +635,11 @@
                                  [this](const stored_object &Object) {
                                    onJob(Object, /*Listed=*/false);
                                  },
+                             .OnConfirmed =
+                                 [this] {
+                                   if (Scheduler)
+                                     Scheduler->scheduleSoon();
+                                 },
                              .MaxAge = JobMaxAge});
   JobWatcher->start();
   const auto OnVersion = [this](const stored_object &Object) {
