Refuse connections during the second half of a planned stop

Cause: a stopping process accepted connections until its stop timeout. Callers that connect although it is not ready, as they do while too few others are, had the requests cut that were in progress then.

--- a/http/http_server.cpp
+++ b/http/http_server.cpp
@@ -479,6 +479,11 @@
     Connection->closeWhenIdle(IdleFor);
 }
 
+void http_server::refuseConnections() {
+  error_code Ignored;
+  State->Acceptor.close(Ignored);
+}
+
 size_t http_server::requestsInFlight() const { return State->InFlight; }
 
 size_t http_server::connections() const {
--- a/http/http_server.h
+++ b/http/http_server.h
@@ -104,6 +104,8 @@
   /// "Connection: close", and closes connections that have been idle for
   /// IdleFor.
   void drain(milliseconds IdleFor);
+  /// Refuses new connections from now on.
+  void refuseConnections();
   /// Number of requests without a complete response.
   [[nodiscard]] size_t requestsInFlight() const;
   [[nodiscard]] size_t connections() const;
--- a/server/gateway.cpp
+++ b/server/gateway.cpp
@@ -58,6 +58,10 @@
 /// Idle timeout of callers' connections once a stopping process is out of
 /// rotation, that is after DrainNotice.
 static constexpr milliseconds DrainIdleTimeout{250};
+/// Callers may still connect to a stopping process, although it reports that it
+/// is not ready. It refuses connections after this fraction of its stop
+/// timeout, so that the requests it has accepted can end within the rest.
+static constexpr double AcceptFraction = 0.5;
 /// Number of gateways that watch for retirements. Each responds after a random
 /// delay, so that usually only one does.
 static constexpr size_t RetirementWatchers = 3;
@@ -133,6 +137,7 @@
   std::map<std::string, timer_handle> RetirementTimers;
   bool Stopping = false;
   bool Draining = false;
+  bool RefusingConnections = false;
   time_point StoppedAt{};
 };
 
@@ -640,6 +645,13 @@
     Draining = true;
     CallerServer->drain(DrainIdleTimeout);
   }
+  if (Elapsed >= Options.StopTimeout * AcceptFraction && Draining &&
+      !RefusingConnections) {
+    RefusingConnections = true;
+    CallerServer->refuseConnections();
+    logInfo("connections_refused",
+            {{"in_flight", std::to_string(CallerServer->requestsInFlight())}});
+  }
   const bool Idle =
       CallerServer->requestsInFlight() == 0 && CallerServer->connections() == 0;
   const bool Done = Elapsed >= Options.DrainNotice && Idle;
