--- a/config/configuration.cpp
+++ b/config/configuration.cpp
@@ -1,5 +1,6 @@
 #include "config/configuration.h"
 
+#include "base/percent_encoding.h"
 #include "config/configuration_document.h"
 #include "config/field_error.h"
 #include "config/inventory_parser.h"
@@ -78,35 +79,10 @@
   return Rule != nullptr && Rule->Retiring;
 }
 
-static int hexValue(char C) {
-  if (C >= '0' && C <= '9')
-    return C - '0';
-  if (C >= 'a' && C <= 'f')
-    return C - 'a' + 10;
-  if (C >= 'A' && C <= 'F')
-    return C - 'A' + 10;
-  return -1;
-}
-
-static std::string decodePercent(std::string_view Text) {
-  std::string Decoded;
-  for (size_t I = 0; I < Text.size(); ++I) {
-    const int High = I + 2 < Text.size() ? hexValue(Text[I + 1]) : -1;
-    const int Low = I + 2 < Text.size() ? hexValue(Text[I + 2]) : -1;
-    if (Text[I] != '%' || High < 0 || Low < 0) {
-      Decoded += Text[I];
-      continue;
-    }
-    Decoded += char(High * 16 + Low);
-    I += 2;
-  }
-  return Decoded;
-}
-
 /// Returns "/a/b" for "/a//./x/../b/?q".
 static std::string normalisePath(std::string_view Path) {
   const std::string Decoded =
-      decodePercent(Path.substr(0, Path.find_first_of("?#")));
+      percentDecode(Path.substr(0, Path.find_first_of("?#")));
   std::string Normalised;
   for (size_t Offset = 0; Offset < Decoded.size();) {
     const size_t End = std::min(Decoded.find('/', Offset), Decoded.size());
--- a/http/http_message.cpp
+++ b/http/http_message.cpp
@@ -1,5 +1,7 @@
 #include "http/http_message.h"
 
+#include "base/percent_encoding.h"
+
 #include <algorithm>
 #include <array>
 #include <cctype>
@@ -63,30 +65,6 @@
   return Target.substr(0, Target.find('?'));
 }
 
-static int hexDigit(char C) {
-  if (C >= '0' && C <= '9')
-    return C - '0';
-  if (C >= 'a' && C <= 'f')
-    return C - 'a' + 10;
-  if (C >= 'A' && C <= 'F')
-    return C - 'A' + 10;
-  return -1;
-}
-
-static std::string percentDecode(std::string_view Text) {
-  std::string Out;
-  for (size_t I = 0; I < Text.size(); ++I) {
-    if (Text[I] == '%' && I + 2 < Text.size() && hexDigit(Text[I + 1]) >= 0 &&
-        hexDigit(Text[I + 2]) >= 0) {
-      Out += char(hexDigit(Text[I + 1]) * 16 + hexDigit(Text[I + 2]));
-      I += 2;
-      continue;
-    }
-    Out += Text[I] == '+' ? ' ' : Text[I];
-  }
-  return Out;
-}
-
 std::string queryParameter(std::string_view Target, std::string_view Name) {
   const size_t Start = Target.find('?');
   if (Start == std::string_view::npos)
@@ -99,27 +77,13 @@
     const size_t Equals = Pair.find('=');
     if (Pair.substr(0, Equals) != Name)
       continue;
-    return Equals == std::string_view::npos
-               ? std::string()
-               : percentDecode(Pair.substr(Equals + 1));
+    if (Equals == std::string_view::npos)
+      return {};
+    std::string Value(Pair.substr(Equals + 1));
+    std::replace(Value.begin(), Value.end(), '+', ' ');
+    return percentDecode(Value);
   }
   return {};
 }
 
-std::string percentEncode(std::string_view Text) {
-  static constexpr std::string_view Hex = "0123456789ABCDEF";
-  std::string Out;
-  for (const char C : Text) {
-    const auto Byte = static_cast<unsigned char>(C);
-    if (std::isalnum(Byte) || C == '-' || C == '.' || C == '_' || C == '~') {
-      Out += C;
-      continue;
-    }
-    Out += '%';
-    Out += Hex[Byte >> 4];
-    Out += Hex[Byte & 15];
-  }
-  return Out;
-}
-
 } // namespace cardamom
--- a/http/http_message.h
+++ b/http/http_message.h
@@ -65,9 +65,6 @@
 /// when it is absent.
 std::string queryParameter(std::string_view Target, std::string_view Name);
 
-/// Percent-encodes all characters except the unreserved ones (RFC 3986, 2.3).
-std::string percentEncode(std::string_view Text);
-
 } // namespace cardamom
 
 #endif // CARDAMOM_HTTP_HTTP_MESSAGE_H
--- a/jobs/checkpoint_server.cpp
+++ b/jobs/checkpoint_server.cpp
@@ -1,6 +1,7 @@
 #include "jobs/checkpoint_server.h"
 
 #include "base/log.h"
+#include "base/percent_encoding.h"
 #include "http/event_loop.h"
 #include "http/http_server.h"
 #include "jobs/inner_paths.h"
--- a/jobs/job_request_handler.cpp
+++ b/jobs/job_request_handler.cpp
@@ -2,6 +2,7 @@
 
 #include "base/log.h"
 #include "base/metrics.h"
+#include "base/percent_encoding.h"
 #include "http/event_loop.h"
 #include "http/http_client.h"
 #include "jobs/inner_paths.h"
