Bound what agents and cardamomctl read from other processes

Cause: engine_client and cardamomctl read responses over cpp-httplib, which limits neither head nor body, and cardamomctl printed whatever nesting came. Agents and entries parsed leases, claims, weights and the list of VMs without a limit on depth, and one entry of the list of VMs that could not be read hid all VMs that were leaving.

Change: engine_client and cardamomctl use http_pool, which bounds head, body and the time for the whole response. All documents go through parseBoundedJson().

--- a/agent/agent_documents.cpp
+++ b/agent/agent_documents.cpp
@@ -1,5 +1,7 @@
 #include "agent/agent_documents.h"
 
+#include "base/bounded_json.h"
+#include "config/leaving_vms.h"
 #include "inner/gen/messages.pb.h"
 
 #include <nlohmann/json.hpp>
@@ -42,19 +44,9 @@
   return "no_route";
 }
 
-std::set<std::string>
-agent_documents::parseLeavingVms(const std::string &Text) {
-  std::set<std::string> Leaving;
-  const json Object = json::parse(Text);
-  for (const json &Vm : Object.at("vms"))
-    if (Vm.at("state") == "leaving")
-      Leaving.insert(Vm.at("vm").get<std::string>());
-  return Leaving;
-}
-
 agent_documents::trainer_weights
 agent_documents::parseWeights(const std::string &Text) {
-  const json Object = json::parse(Text);
+  const json Object = parseBoundedJson(Text);
   return {Object.at("trainer").get<std::string>(),
           {Object.at("model").get<std::string>(),
            Object.at("version").get<uint64_t>(),
--- a/agent/agent_documents.h
+++ b/agent/agent_documents.h
@@ -75,7 +75,6 @@
   };
 
   static void validate(const versioned_document &Document);
-  static std::set<std::string> parseLeavingVms(const std::string &Json);
   static trainer_weights parseWeights(const std::string &Json);
   void install(const versioned_document &Document);
   [[nodiscard]] std::shared_ptr<const upstream_settings> deriveSettings() const;
--- a/agent/engine_client.cpp
+++ b/agent/engine_client.cpp
@@ -1,6 +1,7 @@
 #include "agent/engine_client.h"
 
-#include <httplib.h>
+#include "base/bounded_json.h"
+
 #include <nlohmann/json.hpp>
 
 #include <utility>
@@ -9,16 +10,30 @@
 
 using json = nlohmann::json;
 
+/// Responses of engines have a few hundred bytes.
+static constexpr size_t MaxResponseBytes = size_t(1) << 20;
+
 engine_client::engine_client(engine_client_options Options)
-    : Options(std::move(Options)) {}
+    : Options(std::move(Options)),
+      Pool({.Address = this->Options.Address,
+            .ConnectTimeout = this->Options.Timeout,
+            .MaxBodyBytes = MaxResponseBytes}) {}
+
+pool_result engine_client::get(std::string Target) const {
+  return Pool.run({.Method = "GET",
+                   .Target = std::move(Target),
+                   .Headers = {{"Host", Options.Address}},
+                   .Body = {}},
+                  Options.Timeout);
+}
 
-static httplib::Client makeHttpClient(const engine_client_options &Options) {
-  httplib::Client Client("http://" + Options.Address);
-  Client.set_connection_timeout(Options.Timeout);
-  Client.set_read_timeout(Options.Timeout);
-  Client.set_write_timeout(Options.Timeout);
-  Client.set_tcp_nodelay(true);
-  return Client;
+pool_result engine_client::post(std::string Target, std::string Body) const {
+  return Pool.run({.Method = "POST",
+                   .Target = std::move(Target),
+                   .Headers = {{"Host", Options.Address},
+                               {"Content-Type", "application/json"}},
+                   .Body = std::move(Body)},
+                  Options.Timeout);
 }
 
 static std::optional<engine_state> parseState(const std::string &Text) {
@@ -32,17 +47,17 @@
 }
 
 std::optional<engine_status> engine_client::status() const {
-  const auto Result = makeHttpClient(Options).Get("/status");
-  if (!Result || Result->status != 200)
+  const pool_result Call = get("/status");
+  if (Call.Result != call_result::Complete || Call.Response.Status != 200)
     return std::nullopt;
   try {
-    const json Body = json::parse(Result->body);
+    const json Body = parseBoundedJson(Call.Response.Body);
     const auto State = parseState(Body.at("state").get<std::string>());
     if (!State)
       return std::nullopt;
     return engine_status{Body.at("model").get<std::string>(),
                          Body.at("version").get<uint64_t>(), *State};
-  } catch (const json::exception &) {
+  } catch (const std::exception &) {
     return std::nullopt;
   }
 }
@@ -53,20 +68,19 @@
                      {"version", Order.Version},
                      {"source", Order.Source},
                      {"fence", FencingToken}};
-  const auto Result = makeHttpClient(Options).Post(
-      "/orders/load_weights", Body.dump(), "application/json");
-  if (!Result)
+  const pool_result Call = post("/orders/load_weights", Body.dump());
+  if (Call.Result != call_result::Complete)
     return order_result::Unknown;
-  if (Result->status == 409)
+  if (Call.Response.Status == 409)
     return order_result::StaleFencingToken;
-  return Result->status == 202 ? order_result::Accepted : order_result::Unknown;
+  return Call.Response.Status == 202 ? order_result::Accepted
+                                     : order_result::Unknown;
 }
 
 bool engine_client::cancel(std::string_view RequestId) const {
   const json Body = {{"request_id", std::string(RequestId)}};
-  const auto Result =
-      makeHttpClient(Options).Post("/cancel", Body.dump(), "application/json");
-  return Result && Result->status == 200;
+  const pool_result Call = post("/cancel", Body.dump());
+  return Call.Result == call_result::Complete && Call.Response.Status == 200;
 }
 
 } // namespace cardamom
--- a/agent/engine_client.h
+++ b/agent/engine_client.h
@@ -1,12 +1,14 @@
 /// \file
 /// HTTP client for the status, weight orders and cancellations of one model
 /// engine. Formats: "Model engine" in docs/platform-formats.md. Calls block for
-/// up to the timeout and do not throw if the engine fails. Thread-safe.
+/// up to the timeout and do not throw if the engine fails. A response of more
+/// than 1 MiB counts as a failure. Thread-safe.
 
 #ifndef CARDAMOM_AGENT_ENGINE_CLIENT_H
 #define CARDAMOM_AGENT_ENGINE_CLIENT_H
 
 #include "base/time.h"
+#include "store/http_pool.h"
 
 #include <cstdint>
 #include <optional>
@@ -58,7 +60,11 @@
   [[nodiscard]] bool cancel(std::string_view RequestId) const;
 
 private:
+  pool_result get(std::string Target) const;
+  pool_result post(std::string Target, std::string Body) const;
+
   engine_client_options Options;
+  mutable http_pool Pool;
 };
 
 } // namespace cardamom
--- a/agent/key_ledger.cpp
+++ b/agent/key_ledger.cpp
@@ -1,5 +1,6 @@
 #include "agent/key_ledger.h"
 
+#include "base/bounded_json.h"
 #include "base/log.h"
 #include "base/metrics.h"
 
@@ -260,7 +261,7 @@
 }
 
 key_ledger::claim_map key_ledger::fromJson(std::string_view Text) {
-  const json Object = json::parse(Text);
+  const json Object = parseBoundedJson(Text);
   claim_map Claims;
   for (const auto &[Hash, Value] : Object.at("keys").items()) {
     const json &Holder = Object.at("holders").at(Value.at(0).get<size_t>());
--- a/ctl/command_line_test.cpp
+++ b/ctl/command_line_test.cpp
@@ -53,6 +53,7 @@
   CPPUNIT_TEST(replacesCorruptConfiguration);
   CPPUNIT_TEST(drainsAndUndrains);
   CPPUNIT_TEST(queriesEntries);
+  CPPUNIT_TEST(rejectsDeeplyNestedAnswers);
   CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -179,6 +180,24 @@
     Server.stop();
     Thread.join();
   }
+
+  // Guards against a stack overflow when an answer is printed.
+  void rejectsDeeplyNestedAnswers() {
+    httplib::Server Server;
+    Server.Get(".*", [&](const auto &, auto &Response) {
+      const size_t Depth = 200000;
+      Response.set_content(std::string(Depth, '[') + std::string(Depth, ']'),
+                           "application/json");
+    });
+    const int Port = Server.bind_to_any_port("127.0.0.1");
+    std::thread Thread([&] { Server.listen_after_bind(); });
+    const std::string Entry = "--entry=127.0.0.1:" + std::to_string(Port);
+    const command_result Result = run({"status", Entry});
+    Server.stop();
+    Thread.join();
+    CPPUNIT_ASSERT_EQUAL_MESSAGE(Result.Err, 5, Result.Code);
+    assertContains(Result.Err, "malformed JSON");
+  }
 };
 
 CPPUNIT_TEST_SUITE_NAMED_REGISTRATION(command_line_test, "command_line_test");
--- a/ctl/entry_commands.cpp
+++ b/ctl/entry_commands.cpp
@@ -1,8 +1,9 @@
-#include "base/identifier.h"
+#include "base/bounded_json.h"
+#include "base/percent_encoding.h"
 #include "ctl/commands.h"
 #include "ctl/report.h"
+#include "store/http_pool.h"
 
-#include <httplib.h>
 #include <nlohmann/json.hpp>
 #include <ostream>
 
@@ -12,65 +13,45 @@
 
 static constexpr int IndentSpaces = 2;
 
-/// Percent-encodes all bytes except letters, digits and "-._~".
-static std::string encode(std::string_view Text) {
-  constexpr std::string_view Digits = "0123456789ABCDEF";
-  constexpr std::string_view Unreserved = "-._~";
-  std::string Encoded;
-  for (const char C : Text) {
-    const auto Byte = static_cast<unsigned char>(C);
-    if (std::isalnum(Byte) != 0 ||
-        Unreserved.find(C) != std::string_view::npos) {
-      Encoded += C;
-      continue;
-    }
-    Encoded += '%';
-    Encoded += Digits[Byte >> 4];
-    Encoded += Digits[Byte & 15];
-  }
-  return Encoded;
-}
-
 std::string traceTarget(const std::string &Id) {
-  return "/trace/" + encode(Id);
+  return "/trace/" + percentEncode(Id);
 }
 
 std::string explainTarget(const std::string &Method, const std::string &Path) {
-  return "/explain?path=" + encode(Path) + "&method=" + encode(Method);
-}
-
-static httplib::Result fetch(const entry_access &Access,
-                             const std::string &Target) {
-  const auto Address = parseIpPort(Access.Address).value();
-  httplib::Client Client(Address.Ip, Address.Port);
-  Client.set_url_encode(false);
-  Client.set_tcp_nodelay(true);
-  Client.set_connection_timeout(Access.Timeout);
-  Client.set_read_timeout(Access.Timeout);
-  return Client.Get(Target);
+  return "/explain?path=" + percentEncode(Path) +
+         "&method=" + percentEncode(Method);
 }
 
 exit_code runEntryGet(console &Console, const entry_access &Access,
                       const std::string &Target) {
-  const httplib::Result Response = fetch(Access, Target);
+  http_pool Pool({.Address = Access.Address, .ConnectTimeout = Access.Timeout});
+  const pool_result Call = Pool.run({.Method = "GET",
+                                     .Target = Target,
+                                     .Headers = {{"Host", Access.Address}},
+                                     .Body = {}},
+                                    Access.Timeout);
   const std::string Source = "entry " + Access.Address;
-  if (!Response)
+  if (Call.Result != call_result::Complete)
     return reportError(
         Console, exit_code::Unavailable,
-        Source + " is unavailable: " + httplib::to_string(Response.error()));
-  if (Response->status != 200) {
+        Source + " is unavailable: " + std::string(toString(Call.Result)) +
+            ": " + Call.Detail);
+  const http_response &Response = Call.Response;
+  if (Response.Status != 200) {
     // A 4xx status means that the requested id or path is invalid.
-    const bool IsClientError =
-        Response->status >= 400 && Response->status < 500;
+    const bool IsClientError = Response.Status >= 400 && Response.Status < 500;
     return reportError(
         Console, IsClientError ? exit_code::BadInput : exit_code::Unavailable,
         Source + " responded to GET " + Target + " with status " +
-            std::to_string(Response->status) + ": " + Response->body);
+            std::to_string(Response.Status) + ": " + Response.Body);
   }
-  const json Body = json::parse(Response->body, nullptr, false);
-  if (Body.is_discarded())
+  json Body;
+  try {
+    Body = parseBoundedJson(Response.Body);
+  } catch (const std::invalid_argument &) {
     return reportError(Console, exit_code::Unavailable,
                        Source + " responded with malformed JSON");
+  }
   if (Console.Json)
     Console.Out << Body.dump(IndentSpaces) << '\n';
   else
--- a/entry/entry_threads.cpp
+++ b/entry/entry_threads.cpp
@@ -1,10 +1,10 @@
 #include "base/log.h"
 #include "base/metrics.h"
+#include "config/leaving_vms.h"
 #include "entry/entry_state.h"
 #include "inner/gen/messages.pb.h"
 #include "policy/watchers.h"
 
-#include <nlohmann/json.hpp>
 #include <stdexcept>
 #include <utility>
 
@@ -22,15 +22,6 @@
 static constexpr milliseconds HeartbeatInterval{1000};
 static constexpr milliseconds TickInterval{100};
 
-static std::set<std::string> parseLeavingVms(std::string_view Json) {
-  std::set<std::string> Leaving;
-  const nlohmann::json Object = nlohmann::json::parse(Json);
-  for (const auto &Vm : Object.at("vms"))
-    if (Vm.at("state").get<std::string>() == "leaving")
-      Leaving.insert(Vm.at("vm").get<std::string>());
-  return Leaving;
-}
-
 void entry::state::validateDocument(const versioned_document &Document) const {
   if (Document.Name == ConfigDocument)
     parseConfigurationDocument(Document.Body, Document.Version);
--- a/entry/trainer_lease.cpp
+++ b/entry/trainer_lease.cpp
@@ -1,5 +1,6 @@
 #include "entry/trainer_lease.h"
 
+#include "base/bounded_json.h"
 #include "base/invariant.h"
 #include "base/log.h"
 #include "base/metrics.h"
@@ -24,7 +25,7 @@
 }
 
 lease_record parseLease(std::string_view Json) {
-  const nlohmann::json Object = nlohmann::json::parse(Json);
+  const nlohmann::json Object = parseBoundedJson(Json);
   lease_record Record;
   Record.Owner = Object.at("owner").get<std::string>();
   Record.Address = Object.at("address").get<std::string>();
