Do not end an item's text with a response of another type

Cause: a resumed run of an item took any signed 200 for the rest of the text. A replica that answered with an error page, or with an empty answer of another type, ended a text that had broken off halfway, and it was stored as complete.

Change: a run compares the media type with that of the response that added the last events. Parameters such as charset may differ; streams follow the same rule now (mediaTypeOf). An answer without events and of the same type still ends the text, since all events may have arrived before the break.

--- a/gateway/stream_client.cpp
+++ b/gateway/stream_client.cpp
@@ -143,10 +143,10 @@
   if (Head.Signature.empty())
     return endAttempt(stream_attempt_end::Broken, "unsigned answer");
   // The response that the caller gets is that of the first replica.
-  const std::string_view Type = Head.Headers.get("Content-Type");
+  std::string Type = mediaTypeOf(Head.Headers);
   if (HeadForwarded && Type != ContentType)
     return endAttempt(stream_attempt_end::Broken, "other content type");
-  ContentType = Type;
+  ContentType = std::move(Type);
   Streaming = true;
 }
 
--- a/http/http_message.cpp
+++ b/http/http_message.cpp
@@ -61,6 +61,15 @@
     remove(Name);
 }
 
+std::string mediaTypeOf(const header_list &Headers) {
+  const std::string_view Value = Headers.get("Content-Type");
+  std::string Type;
+  for (const char C : Value.substr(0, Value.find(';')))
+    if (C != ' ' && C != '\t')
+      Type += char(std::tolower(static_cast<unsigned char>(C)));
+  return Type;
+}
+
 std::string_view pathOf(std::string_view Target) {
   return Target.substr(0, Target.find('?'));
 }
--- a/http/http_message.h
+++ b/http/http_message.h
@@ -58,6 +58,10 @@
 /// Compares header names and other ASCII tokens case-insensitively.
 bool equalsIgnoringCase(std::string_view A, std::string_view B);
 
+/// Returns the media type of a response in lower case and without parameters,
+/// such as "text/event-stream", or an empty string if it states none.
+std::string mediaTypeOf(const header_list &Headers);
+
 /// Returns the path of a request target, without the query.
 std::string_view pathOf(std::string_view Target);
 
--- a/jobs/item_run.cpp
+++ b/jobs/item_run.cpp
@@ -72,6 +72,11 @@
   if (Head.ContentEncoded || Head.Signature.empty())
     return end(item_run_outcome::Broken,
                "response is unsigned or has a content encoding");
+  // The response may hold no events. It then ends the text, so it must not be
+  // an error page.
+  MediaType = mediaTypeOf(Response.Headers);
+  if (Text.LastEvent && Text.MediaType && MediaType != *Text.MediaType)
+    return end(item_run_outcome::Broken, "other content type");
   // A response without further events has no version.
   Version = Head.WeightVersion;
   if (Version && Options.OnVersion)
@@ -105,6 +110,7 @@
     Text.Text += '\n';
   Text.Text += Event.Data;
   Text.LastEvent = Event.Id;
+  Text.MediaType = MediaType;
   Text.Versions.insert(*Version);
   ++Text.Events;
   ++Events;
--- a/jobs/item_run.h
+++ b/jobs/item_run.h
@@ -35,6 +35,9 @@
   std::optional<uint64_t> LastEvent;
   uint64_t Events = 0;
   std::set<uint64_t> Versions;
+  /// Media type of the last response that added to Text; empty if none did
+  /// since the text was read from a checkpoint.
+  std::optional<std::string> MediaType;
 };
 
 enum class item_run_outcome {
@@ -118,6 +121,7 @@
   std::optional<time_point> FirstEventAt;
   uint64_t Events = 0;
   std::optional<uint64_t> Version;
+  std::string MediaType;
   bool Streaming = false;
   bool Ended = false;
   call_handle Call;
