--- /dev/null
+++ b/jobs/weight_updater_test.cpp
@@ -0,0 +1,159 @@
+#include "jobs/weight_updater.h"
+
+#include "gateway/protocols.h"
+#include "gateway/test_environment.h"
+#include "http/http_server.h"
+
+#include <cppunit/extensions/HelperMacros.h>
+#include <memory>
+
+namespace cardamom {
+
+/// Plays replicas that say in an answer to a report request or to an order that
+/// they are leaving.
+class weight_updater_test : public CppUnit::TestFixture {
+  CPPUNIT_TEST_SUITE(weight_updater_test);
+  CPPUNIT_TEST(ordersNewVersion);
+  CPPUNIT_TEST(sendsNoOrderAfterReportOfLeavingReplica);
+  CPPUNIT_TEST(sendsNoOrderAfterOrderAnswerOfLeavingReplica);
+  CPPUNIT_TEST(ignoresAnswersOfAnotherProcess);
+  CPPUNIT_TEST_SUITE_END();
+
+  test_environment Env;
+  std::string Address;
+  std::unique_ptr<http_server> Replica;
+  std::unique_ptr<weight_updater> Updater;
+  gateway_protocols Protocols;
+  unsigned Reports = 0;
+  unsigned Orders = 0;
+  bool ReportsLeaving = false;
+  bool OrdersLeave = false;
+  uint64_t LoadedVersion = 1;
+  order_outcome OrderOutcome = order_outcome::Accepted;
+
+  void answer(const exchange_ptr &Exchange, bool Leaving) {
+    header_list Headers;
+    if (Leaving)
+      Headers.add("Leaving", "1");
+    Exchange->respond({.Status = 200, .Headers = Headers, .Body = {}});
+  }
+
+  static http_request request(const char *Target) {
+    return {.Method = "POST",
+            .Target = Target,
+            .Headers = {{"Host", "h"}},
+            .Body = {}};
+  }
+
+public:
+  void setUp() override {
+    Protocols.Upstream.Decode = [](const http_response &Response) {
+      return upstream_head{.Status = Response.Status,
+                           .Leaving = !Response.Headers.get("Leaving").empty()};
+    };
+    Protocols.EncodeReportRequest = [](std::string_view) {
+      return request("/report");
+    };
+    Protocols.DecodeReplicaReport = [this](const http_response &) {
+      return replica_report{.Versions = {{"m", LoadedVersion}}};
+    };
+    Protocols.EncodeOrder = [](const load_weights_order &) {
+      return request("/order");
+    };
+    Protocols.DecodeOrder = [this](const http_response &) {
+      return OrderOutcome;
+    };
+    Address = test_environment::unusedAddress();
+    Replica = std::make_unique<http_server>(
+        Env.Loop,
+        http_server_options{.Listen = Address,
+                            .OnRequest = [this](const exchange_ptr &Exchange) {
+                              const bool IsReport =
+                                  Exchange->request().Target == "/report";
+                              ++(IsReport ? Reports : Orders);
+                              answer(Exchange,
+                                     IsReport ? ReportsLeaving : OrdersLeave);
+                            }});
+    Updater = std::make_unique<weight_updater>(weight_updater_options{
+        .Loop = Env.Loop,
+        .Client = Env.Client,
+        .Directory = Env.Directory,
+        .Gate = Env.Gate,
+        .Protocols = Protocols,
+        .Pool = "s",
+        .Holder = "h",
+        .FencingToken = 1,
+        .MayOrder = [](time_point) { return true; },
+        .RenewLease = [] {},
+        .RunningItemCount = [](std::string_view) { return 0U; },
+        .DrainRunsFirst = [] { return false; },
+        .OnFenced = [] {},
+        .OnVersionChanged = [] {},
+        .ReportInterval = milliseconds(20),
+        .OrderSettleTime = milliseconds(100)});
+  }
+
+  /// Lists the replica and plays the time of several plans and reports.
+  void play(uint64_t StartedAtMs = 1) {
+    Env.Directory.update({.Id = "a",
+                          .Service = "s",
+                          .Address = Address,
+                          .StartedAtMs = StartedAtMs,
+                          .Versions = {{"m", 1}}},
+                         event_loop::now());
+    Updater->setTargetVersion("m", 2);
+    Env.runFor(milliseconds(900));
+  }
+
+  [[nodiscard]] bool leaving() const {
+    return Env.Directory.find("a")->Draining;
+  }
+
+  void ordersNewVersion() {
+    OrderOutcome = order_outcome::AlreadyLoaded;
+    play();
+    CPPUNIT_ASSERT_EQUAL(1U, Reports);
+    CPPUNIT_ASSERT_EQUAL(1U, Orders);
+    CPPUNIT_ASSERT(!leaving());
+  }
+
+  // Guards against an order to a replica that the store still lists as live.
+  void sendsNoOrderAfterReportOfLeavingReplica() {
+    ReportsLeaving = true;
+    play();
+    CPPUNIT_ASSERT_EQUAL(1U, Reports);
+    CPPUNIT_ASSERT_EQUAL(0U, Orders);
+    CPPUNIT_ASSERT(leaving());
+    // A list that was read before the departure does not undo it.
+    play();
+    CPPUNIT_ASSERT_EQUAL(0U, Orders);
+  }
+
+  // Guards against an order that is repeated after the settle time.
+  void sendsNoOrderAfterOrderAnswerOfLeavingReplica() {
+    OrdersLeave = true;
+    play();
+    CPPUNIT_ASSERT_EQUAL(1U, Orders);
+    CPPUNIT_ASSERT(leaving());
+    CPPUNIT_ASSERT(!Updater->isChanging("a", "m"));
+    play();
+    CPPUNIT_ASSERT_EQUAL(1U, Orders);
+  }
+
+  // A departure ends with the process; its successor gets orders.
+  void ignoresAnswersOfAnotherProcess() {
+    ReportsLeaving = true;
+    play(1);
+    CPPUNIT_ASSERT_EQUAL(0U, Orders);
+    ReportsLeaving = false;
+    OrderOutcome = order_outcome::AlreadyLoaded;
+    play(2);
+    CPPUNIT_ASSERT(!leaving());
+    CPPUNIT_ASSERT_EQUAL(1U, Orders);
+  }
+};
+
+CPPUNIT_TEST_SUITE_NAMED_REGISTRATION(weight_updater_test,
+                                      "weight_updater_test");
+
+} // namespace cardamom
