--- a/config/leaving_vms_test.cpp
+++ b/config/leaving_vms_test.cpp
@@ -1,5 +1,6 @@
 #include "config/leaving_vms.h"
 
+#include <algorithm>
 #include <cppunit/extensions/HelperMacros.h>
 #include <stdexcept>
 
@@ -29,11 +30,14 @@
 
   // Guards against one malformed entry that hides the VMs that leave.
   void ignoresOddEntries() {
-    const std::string Deep(100000, '[');
-    const std::string DeepEnd(100000, ']');
+    constexpr size_t Depth = 100000;
+    std::string Deep(2 * Depth, '[');
+    std::fill(Deep.begin() + Depth, Deep.end(), ']');
+    std::string DeepMember = "{\"vm\":";
+    DeepMember += Deep;
+    DeepMember += '}';
     for (const std::string &Odd :
-         {Deep + DeepEnd, "{\"vm\":" + Deep + DeepEnd + "}",
-          std::string(R"({"vm":"vm3","state":1e999})"),
+         {Deep, DeepMember, std::string(R"({"vm":"vm3","state":1e999})"),
           std::string(R"({"vm":7,"state":"leaving"})"),
           std::string(R"({"state":"leaving"})"), std::string("null"),
           std::string("\"\xff\"")}) {
