Keep progress and holder when the lease moves twice

At 22.0384 s a stand-by sees the lease with a new holder; at 22.0396 s the former holder's answer to an earlier probe, status 404, counts against the new one ("holder_down holder=edge-gulfport-1 status=404"), and the stand-by takes the lease at 22.32 s from a holder that serves. The new holder had taken the progress of 220 items at 22.0358 s and had not read its jobs yet; at 22.3308 s it handed over 0 items, and its checkpoints replaced those of its predecessor with empty ones. All 220 items began again. exportProgress() now passes on imported progress of jobs that are not added yet, for 10 s after the import, so that the items of ended jobs do not circulate.

The three new tests in scheduler_test failed before: the export was empty, and the probe's answer started a second scheduler.

--- a/jobs/job_scheduler.cpp
+++ b/jobs/job_scheduler.cpp
@@ -234,6 +234,11 @@
 nlohmann::json job_scheduler::exportProgress(milliseconds MinAge) const {
   const time_point Now = event_loop::now();
   nlohmann::json Progress = nlohmann::json::object();
+  if (Now < ImportedUntil) {
+    Progress = ImportedProgress;
+    for (const std::string &Id : SavedItemIds)
+      Progress.erase(Id);
+  }
   for (const auto &[Id, Job] : Jobs) {
     if (Job->Ended)
       continue;
@@ -255,6 +260,7 @@
     throw std::invalid_argument("progress is not a JSON object");
   for (const auto &[ItemId, Entry] : Progress.items())
     ImportedProgress[ItemId] = Entry;
+  ImportedUntil = event_loop::now() + Options.ImportedProgressLifetime;
   for (const auto &[Id, Job] : Jobs)
     for (const auto &Item : Job->Items)
       applyImportedProgress(*Item);
--- a/jobs/job_scheduler.h
+++ b/jobs/job_scheduler.h
@@ -78,6 +78,9 @@
   /// result that completes the last group that the trainer waits for is not
   /// delayed; see result_batch_delay.
   milliseconds MaxBatchDelay{250};
+  /// Imported progress is passed on to a successor for this long, even if no
+  /// job with its items has been added yet.
+  milliseconds ImportedProgressLifetime{10000};
   /// A run without an event for this long is considered broken.
   milliseconds StallTimeout{2000};
   /// Time for which a replica that refused an item gets no new items.
@@ -115,7 +118,8 @@
   [[nodiscard]] unsigned runningItemCount(std::string_view Replica) const;
   [[nodiscard]] size_t openJobCount() const;
   /// Exports generated texts and results that are not listed yet, for a
-  /// successor. MinAge: exports only the texts of items that were started at
+  /// successor, and imported progress whose jobs have not been added yet.
+  /// MinAge: exports only the texts of items that were started at
   /// least this long ago, which are the most expensive to generate again.
   [[nodiscard]] nlohmann::json
   exportProgress(milliseconds MinAge = milliseconds(0)) const;
@@ -180,6 +184,8 @@
   /// Progress of a predecessor or of ended jobs, by item id, until a job with
   /// the item is added.
   std::map<std::string, nlohmann::json, std::less<>> ImportedProgress;
+  /// Until then, ImportedProgress is passed on to a successor.
+  time_point ImportedUntil{};
   /// Ids of the items of ended jobs in ImportedProgress, oldest first.
   std::deque<std::string> SavedItemIds;
   bool SchedulePending = false;
--- a/jobs/pool_leadership.cpp
+++ b/jobs/pool_leadership.cpp
@@ -101,6 +101,9 @@
   if (Lease.record().Holder != PreviousHolder) {
     HolderDown = false;
     ProbeFailures = 0;
+    // The former holder's answer says nothing about the new one.
+    ProbeCall.reset();
+    Probing = false;
     logInfo("lease_seen",
             {{"pool", pool()},
              {"holder", Lease.record().Holder},
