--- a/jobs/weight_updater_test.cpp
+++ b/jobs/weight_updater_test.cpp
@@ -17,6 +17,7 @@
   CPPUNIT_TEST(sendsNoOrderAfterReportOfLeavingReplica);
   CPPUNIT_TEST(sendsNoOrderAfterOrderAnswerOfLeavingReplica);
   CPPUNIT_TEST(ignoresAnswersOfAnotherProcess);
+  CPPUNIT_TEST(ignoresAnswersToOtherRequests);
   CPPUNIT_TEST_SUITE_END();
 
   test_environment Env;
@@ -29,12 +30,16 @@
   bool ReportsLeaving = false;
   bool OrdersLeave = false;
   uint64_t LoadedVersion = 1;
+  /// Request that the answers belong to; empty for reports and orders.
+  std::string AnsweredRequest;
   order_outcome OrderOutcome = order_outcome::Accepted;
 
   void answer(const exchange_ptr &Exchange, bool Leaving) {
     header_list Headers;
     if (Leaving)
       Headers.add("Leaving", "1");
+    if (!AnsweredRequest.empty())
+      Headers.add("Id", AnsweredRequest);
     Exchange->respond({.Status = 200, .Headers = Headers, .Body = {}});
   }
 
@@ -49,6 +54,7 @@
   void setUp() override {
     Protocols.Upstream.Decode = [](const http_response &Response) {
       return upstream_head{.Status = Response.Status,
+                           .RequestId = std::string(Response.Headers.get("Id")),
                            .Leaving = !Response.Headers.get("Leaving").empty()};
     };
     Protocols.EncodeReportRequest = [](std::string_view) {
@@ -151,6 +157,20 @@
     CPPUNIT_ASSERT(!leaving());
     CPPUNIT_ASSERT_EQUAL(1U, Orders);
   }
+
+  // Guards against a second, late copy of an answer to a caller's request that
+  // is taken for a report.
+  void ignoresAnswersToOtherRequests() {
+    AnsweredRequest = "r";
+    ReportsLeaving = true;
+    LoadedVersion = 2;
+    play();
+    CPPUNIT_ASSERT(Reports > 0);
+    CPPUNIT_ASSERT_EQUAL(0U, Orders);
+    CPPUNIT_ASSERT(!leaving());
+    CPPUNIT_ASSERT_EQUAL(uint64_t(1),
+                         Env.Directory.find("a")->Versions.at("m"));
+  }
 };
 
 CPPUNIT_TEST_SUITE_NAMED_REGISTRATION(weight_updater_test,
