Place items without comparing each with each replica

Cause: place() and planMoves() compared each item with each replica, and for each pair msPerToken() computed the mean of all speeds anew if the replica's speed was unknown or older than 4 s. planMoves() also kept every pair that saved time, and moveSlowItems() searched the replicas once per running item. A scheduler plans moves every 200 ms and places items whenever one ends.

Change: the mean is computed once per pass. Items with equal requirements on weights share a queue of replicas by cost; planMoves() keeps one candidate per item, because the fastest free target saves most. Same choices as before; among equal gains the order is now defined.

--- a/jobs/job_scheduler.cpp
+++ b/jobs/job_scheduler.cpp
@@ -13,6 +13,8 @@
 #include <algorithm>
 #include <optional>
 #include <stdexcept>
+#include <string_view>
+#include <unordered_map>
 #include <vector>
 
 namespace cardamom {
@@ -469,6 +471,9 @@
   std::vector<const replica *> Replicas =
       Options.Directory.usable(Options.Pool, Now);
   const size_t UsableCount = Replicas.size();
+  std::unordered_map<std::string_view, size_t> Indexes;
+  for (const replica *Replica : Replicas)
+    Indexes.emplace(Replica->Id, Indexes.size());
   std::vector<item_state *> Candidates;
   std::vector<running_item> Running;
   for (const auto &[Id, Job] : Jobs) {
@@ -479,16 +484,15 @@
           Now - Item->Run->startedAt() < MinRunBeforeMove)
         continue;
       const std::string &ReplicaId = Item->Run->replicaId();
-      auto It = std::find_if(
-          Replicas.begin(), Replicas.end(),
-          [&](const replica *Replica) { return Replica->Id == ReplicaId; });
-      if (It == Replicas.end()) {
+      auto Found = Indexes.find(ReplicaId);
+      if (Found == Indexes.end()) {
         // The replica is draining or failing: items may be moved away from it,
         // but not to it.
         const replica *Unusable = Options.Directory.find(ReplicaId);
         if (!Unusable)
           continue;
-        It = Replicas.insert(Replicas.end(), Unusable);
+        Found = Indexes.emplace(Unusable->Id, Replicas.size()).first;
+        Replicas.push_back(Unusable);
       }
       Running.push_back({.Index = Candidates.size(),
                          .Model = Job->Job.Model,
@@ -497,7 +501,7 @@
                          .RemainingTokens = remainingTokens(*Item),
                          .Spare = Item->Spare,
                          .DueAt = Job->DueAt,
-                         .Replica = size_t(It - Replicas.begin())});
+                         .Replica = Found->second});
       Candidates.push_back(Item.get());
     }
   }
--- a/policy/item_placement.cpp
+++ b/policy/item_placement.cpp
@@ -1,9 +1,11 @@
 #include "policy/item_placement.h"
 
 #include <algorithm>
+#include <numeric>
 #include <optional>
-#include <set>
+#include <queue>
 #include <tuple>
+#include <utility>
 
 namespace cardamom {
 
@@ -16,18 +18,34 @@
   return Sum / double(Speeds.size());
 }
 
-double item_placement::msPerToken(std::string_view Replica,
+double item_placement::msPerToken(std::string_view Replica, double Average,
                                   time_point Now) const {
   const auto It = Speeds.find(Replica);
   // A replica whose speed is unknown, or that was slow some time ago, is
   // assumed to have average speed, so that it is tried.
   if (It == Speeds.end())
-    return averageMsPerToken();
+    return Average;
   if (Now - It->second.ObservedAt > Options.SpeedMaxAge)
-    return std::min(averageMsPerToken(), It->second.MsPerToken);
+    return std::min(Average, It->second.MsPerToken);
   return It->second.MsPerToken;
 }
 
+double item_placement::msPerToken(std::string_view Replica,
+                                  time_point Now) const {
+  return msPerToken(Replica, averageMsPerToken(), Now);
+}
+
+std::vector<double>
+item_placement::msPerToken(std::span<const replica_capacity> Replicas,
+                           time_point Now) const {
+  const double Average = averageMsPerToken();
+  std::vector<double> Result;
+  Result.reserve(Replicas.size());
+  for (const replica_capacity &Replica : Replicas)
+    Result.push_back(msPerToken(Replica.Id, Average, Now));
+  return Result;
+}
+
 void item_placement::onProgress(std::string_view Replica, double Tokens,
                                 milliseconds Elapsed, time_point Now) {
   if (Tokens <= 0 || Elapsed.count() <= 0)
@@ -49,18 +67,80 @@
 }
 
 double item_placement::costPerToken(const replica_capacity &Replica,
-                                    unsigned FreeSlots, time_point Now) const {
+                                    unsigned FreeSlots,
+                                    double MsPerToken) const {
   // Among replicas of equal speed the less loaded one is preferred, because its
   // generation steps are shorter.
   static constexpr double FullSlotsFactor = 0.1;
-  double Cost = msPerToken(Replica.Id, Now);
+  double Cost = MsPerToken;
   if (Replica.SameFailureDomain)
     Cost *= Options.SameDomainCostFactor;
   return Cost * (1 + FullSlotsFactor * (1 - double(FreeSlots) / Replica.Slots));
 }
 
+namespace {
+
+/// Weights that an item requires. Items with equal requirements choose among
+/// the same replicas.
+struct weight_requirement {
+  std::string_view Model;
+  uint64_t MinVersion = 0;
+  uint64_t ExactVersion = 0;
+  bool operator<(const weight_requirement &Other) const {
+    return std::tie(Model, MinVersion, ExactVersion) <
+           std::tie(Other.Model, Other.MinVersion, Other.ExactVersion);
+  }
+};
+
+/// A replica with free slots, and its cost while it had that many.
+struct priced_replica {
+  double Cost = 0;
+  size_t Replica = 0;
+  unsigned FreeSlots = 0;
+};
+
+struct later_choice {
+  bool operator()(const priced_replica &A, const priced_replica &B) const {
+    return std::tuple(A.Cost, A.Replica) > std::tuple(B.Cost, B.Replica);
+  }
+};
+
+using choice_queue =
+    std::priority_queue<priced_replica, std::vector<priced_replica>,
+                        later_choice>;
+
+/// Replicas with free slots to which items may move, fastest first.
+struct move_targets {
+  std::vector<size_t> Replicas;
+  /// All replicas before this position have no free slots left.
+  size_t FirstOpen = 0;
+};
+
+/// The best move that an item has left.
+struct candidate_move {
+  double GainMs = 0;
+  /// Index into the running items.
+  size_t Item = 0;
+  size_t Replica = 0;
+};
+
+struct smaller_gain {
+  bool operator()(const candidate_move &A, const candidate_move &B) const {
+    return std::tuple(A.GainMs, B.Item) < std::tuple(B.GainMs, A.Item);
+  }
+};
+
+} // namespace
+
 template <typename Item>
-static bool serves(const replica_capacity &Replica, const Item &Requirement) {
+static weight_requirement requirementOf(const Item &RequiringItem) {
+  return {.Model = RequiringItem.Model,
+          .MinVersion = RequiringItem.MinVersion,
+          .ExactVersion = RequiringItem.ExactVersion};
+}
+
+static bool serves(const replica_capacity &Replica,
+                   const weight_requirement &Requirement) {
   const auto It = Replica.Versions.find(Requirement.Model);
   if (It == Replica.Versions.end() || It->second < Requirement.MinVersion)
     return false;
@@ -68,6 +148,15 @@
          It->second == Requirement.ExactVersion;
 }
 
+static std::vector<unsigned>
+freeSlots(std::span<const replica_capacity> Replicas) {
+  std::vector<unsigned> FreeSlots;
+  FreeSlots.reserve(Replicas.size());
+  for (const replica_capacity &Replica : Replicas)
+    FreeSlots.push_back(Replica.FreeSlots);
+  return FreeSlots;
+}
+
 std::vector<placed_item>
 item_placement::place(std::vector<waiting_item> Waiting,
                       std::span<const replica_capacity> Replicas,
@@ -79,34 +168,62 @@
               return std::tuple(A.Spare, A.DueAt, -A.RemainingTokens, A.Index) <
                      std::tuple(B.Spare, B.DueAt, -B.RemainingTokens, B.Index);
             });
-  std::vector<unsigned> FreeSlots;
-  unsigned TotalFreeSlots = 0;
-  for (const replica_capacity &Replica : Replicas) {
-    FreeSlots.push_back(Replica.FreeSlots);
-    TotalFreeSlots += Replica.FreeSlots;
-  }
+  const std::vector<double> MsPerToken = msPerToken(Replicas, Now);
+  std::vector<unsigned> FreeSlots = freeSlots(Replicas);
+  unsigned TotalFreeSlots =
+      std::accumulate(FreeSlots.begin(), FreeSlots.end(), 0U);
+  const auto Price = [&](size_t Replica) -> priced_replica {
+    return {.Cost = costPerToken(Replicas[Replica], FreeSlots[Replica],
+                                 MsPerToken[Replica]),
+            .Replica = Replica,
+            .FreeSlots = FreeSlots[Replica]};
+  };
+  std::map<weight_requirement, choice_queue> Queues;
+  const auto FindQueue =
+      [&](const weight_requirement &Requirement) -> choice_queue & {
+    const auto [It, New] = Queues.try_emplace(Requirement);
+    for (size_t I = 0; New && I < Replicas.size(); ++I)
+      if (FreeSlots[I] > 0 && serves(Replicas[I], Requirement))
+        It->second.push(Price(I));
+    return It->second;
+  };
+  // Items with other requirements may have taken slots since a replica was
+  // priced. Its cost has only risen by that, so that no cheaper replica is
+  // missed.
+  const auto PopCheapest =
+      [&](choice_queue &Queue) -> std::optional<priced_replica> {
+    while (!Queue.empty()) {
+      const priced_replica Cheapest = Queue.top();
+      Queue.pop();
+      if (Cheapest.FreeSlots == FreeSlots[Cheapest.Replica])
+        return Cheapest;
+      if (FreeSlots[Cheapest.Replica] > 0)
+        Queue.push(Price(Cheapest.Replica));
+    }
+    return std::nullopt;
+  };
   std::vector<placed_item> Placed;
   for (const waiting_item &Item : Waiting) {
     if (TotalFreeSlots == 0)
       break;
-    std::optional<size_t> Best;
-    double BestCost = 0;
-    for (size_t I = 0; I < Replicas.size(); ++I) {
-      if (FreeSlots[I] == 0 || !serves(Replicas[I], Item))
-        continue;
-      double Cost = costPerToken(Replicas[I], FreeSlots[I], Now);
-      if (Replicas[I].Id == Item.AvoidReplica)
-        Cost *= AvoidFactor;
-      if (Best && Cost >= BestCost)
-        continue;
-      Best = I;
-      BestCost = Cost;
-    }
+    choice_queue &Queue = FindQueue(requirementOf(Item));
+    std::optional<priced_replica> Best = PopCheapest(Queue);
     if (!Best)
       continue;
-    --FreeSlots[*Best];
+    if (Replicas[Best->Replica].Id == Item.AvoidReplica) {
+      if (std::optional<priced_replica> Other = PopCheapest(Queue)) {
+        priced_replica Avoided = *Best;
+        Avoided.Cost *= AvoidFactor;
+        if (later_choice()(Avoided, *Other))
+          std::swap(*Best, *Other);
+        Queue.push(*Other);
+      }
+    }
+    --FreeSlots[Best->Replica];
     --TotalFreeSlots;
-    Placed.push_back({.Index = Item.Index, .Replica = *Best});
+    if (FreeSlots[Best->Replica] > 0)
+      Queue.push(Price(Best->Replica));
+    Placed.push_back({.Index = Item.Index, .Replica = Best->Replica});
   }
   return Placed;
 }
@@ -115,41 +232,57 @@
 item_placement::planMoves(std::span<const running_item> Running,
                           std::span<const replica_capacity> Replicas,
                           time_point Now) const {
-  struct candidate_move {
-    double GainMs;
-    placed_item Placed;
+  const std::vector<double> MsPerToken = msPerToken(Replicas, Now);
+  std::vector<unsigned> FreeSlots = freeSlots(Replicas);
+  std::map<weight_requirement, move_targets> TargetsByRequirement;
+  const auto FindTargets =
+      [&](const weight_requirement &Requirement) -> move_targets & {
+    const auto [It, New] = TargetsByRequirement.try_emplace(Requirement);
+    std::vector<size_t> &Targets = It->second.Replicas;
+    for (size_t I = 0; New && I < Replicas.size(); ++I)
+      if (FreeSlots[I] > 0 && serves(Replicas[I], Requirement))
+        Targets.push_back(I);
+    if (New)
+      std::sort(Targets.begin(), Targets.end(), [&](size_t A, size_t B) {
+        return std::tuple(MsPerToken[A], A) < std::tuple(MsPerToken[B], B);
+      });
+    return It->second;
   };
-  std::vector<candidate_move> Candidates;
-  for (const running_item &Item : Running) {
-    const double RemainingMs =
-        Item.RemainingTokens * msPerToken(Replicas[Item.Replica].Id, Now);
-    for (size_t I = 0; I < Replicas.size(); ++I) {
-      if (I == Item.Replica || Replicas[I].FreeSlots == 0 ||
-          !serves(Replicas[I], Item))
-        continue;
-      const double Gain =
-          RemainingMs - Item.RemainingTokens * msPerToken(Replicas[I].Id, Now);
-      if (Gain > RemainingMs * Options.MinMoveGainFraction &&
-          Gain > double(Options.MinMoveGain.count()))
-        Candidates.push_back(
-            {.GainMs = Gain, .Placed = {.Index = Item.Index, .Replica = I}});
-    }
-  }
-  std::sort(Candidates.begin(), Candidates.end(),
-            [](const candidate_move &A, const candidate_move &B) {
-              return A.GainMs > B.GainMs;
-            });
-  std::vector<unsigned> FreeSlots;
-  for (const replica_capacity &Replica : Replicas)
-    FreeSlots.push_back(Replica.FreeSlots);
-  std::set<size_t> Moved;
+  // The fastest target with free slots saves most; if it does not save enough,
+  // no other does.
+  const auto FindMove = [&](size_t Index) -> std::optional<candidate_move> {
+    const running_item &Item = Running[Index];
+    move_targets &Targets = FindTargets(requirementOf(Item));
+    while (Targets.FirstOpen < Targets.Replicas.size() &&
+           FreeSlots[Targets.Replicas[Targets.FirstOpen]] == 0)
+      ++Targets.FirstOpen;
+    if (Targets.FirstOpen == Targets.Replicas.size())
+      return std::nullopt;
+    const size_t Target = Targets.Replicas[Targets.FirstOpen];
+    const double RemainingMs = Item.RemainingTokens * MsPerToken[Item.Replica];
+    const double Gain = RemainingMs - Item.RemainingTokens * MsPerToken[Target];
+    if (Gain <= RemainingMs * Options.MinMoveGainFraction ||
+        Gain <= double(Options.MinMoveGain.count()))
+      return std::nullopt;
+    return candidate_move{.GainMs = Gain, .Item = Index, .Replica = Target};
+  };
+  std::priority_queue<candidate_move, std::vector<candidate_move>, smaller_gain>
+      Candidates;
+  for (size_t Index = 0; Index < Running.size(); ++Index)
+    if (const auto Move = FindMove(Index))
+      Candidates.push(*Move);
   std::vector<placed_item> Moves;
-  for (const candidate_move &Candidate : Candidates) {
-    if (FreeSlots[Candidate.Placed.Replica] == 0 ||
-        !Moved.insert(Candidate.Placed.Index).second)
+  while (!Candidates.empty()) {
+    const candidate_move Best = Candidates.top();
+    Candidates.pop();
+    if (FreeSlots[Best.Replica] == 0) {
+      if (const auto Move = FindMove(Best.Item))
+        Candidates.push(*Move);
       continue;
-    --FreeSlots[Candidate.Placed.Replica];
-    Moves.push_back(Candidate.Placed);
+    }
+    --FreeSlots[Best.Replica];
+    Moves.push_back(
+        {.Index = Running[Best.Item].Index, .Replica = Best.Replica});
   }
   return Moves;
 }
--- a/policy/item_placement.h
+++ b/policy/item_placement.h
@@ -14,7 +14,8 @@
 /// that becomes slow delays only the items that it runs. These are resumed
 /// elsewhere, after their last event, once a faster replica has a free slot.
 /// Reads no clock and does no I/O; the only state is the observed speed of each
-/// replica. place() costs O(items log items + placed x replicas).
+/// replica. Both functions cost O((items + replicas x requirements) log
+/// replicas), where a requirement is a model with its allowed versions.
 
 #ifndef CARDAMOM_POLICY_ITEM_PLACEMENT_H
 #define CARDAMOM_POLICY_ITEM_PLACEMENT_H
@@ -125,8 +126,14 @@
   };
 
   [[nodiscard]] double averageMsPerToken() const;
+  [[nodiscard]] double msPerToken(std::string_view Replica, double Average,
+                                  time_point Now) const;
+  /// Returns the speeds of all Replicas, in their order.
+  [[nodiscard]] std::vector<double>
+  msPerToken(std::span<const replica_capacity> Replicas, time_point Now) const;
   [[nodiscard]] double costPerToken(const replica_capacity &Replica,
-                                    unsigned Free, time_point Now) const;
+                                    unsigned FreeSlots,
+                                    double MsPerToken) const;
 
   item_placement_options Options;
   std::map<std::string, observed_speed, std::less<>> Speeds;
--- a/policy/item_placement_test.cpp
+++ b/policy/item_placement_test.cpp
@@ -1,9 +1,14 @@
 #include "policy/item_placement.h"
 
 #include <algorithm>
+#include <chrono>
 #include <cppunit/extensions/HelperMacros.h>
 #include <numeric>
+#include <optional>
 #include <random>
+#include <set>
+#include <string>
+#include <tuple>
 
 namespace cardamom {
 
@@ -16,6 +21,9 @@
   CPPUNIT_TEST(keepsItemWhereGainIsSmall);
   CPPUNIT_TEST(triesFormerlySlowReplicaAgain);
   CPPUNIT_TEST(finishesStepSoonerThanRoundRobin);
+  CPPUNIT_TEST(placesAsExhaustiveSearch);
+  CPPUNIT_TEST(movesAsExhaustiveSearch);
+  CPPUNIT_TEST(passOverThousandsOfReplicasFitsTick);
   CPPUNIT_TEST_SUITE_END();
 
   const time_point Now = time_point(milliseconds(100000));
@@ -141,6 +149,207 @@
     CPPUNIT_ASSERT_MESSAGE(std::to_string(PlacementMs / RoundRobinMs),
                            PlacementMs < 0.9 * RoundRobinMs);
   }
+
+private:
+  using random_engine = std::mt19937_64;
+
+  static size_t below(random_engine &Random, size_t Bound) {
+    return std::uniform_int_distribution<size_t>(0, Bound - 1)(Random);
+  }
+
+  /// Replicas with some models, free slots and speeds; the speeds of some are
+  /// unknown or were observed long ago.
+  struct random_fleet {
+    std::vector<std::string> Ids;
+    std::vector<replica_capacity> Replicas;
+  };
+
+  random_fleet makeFleet(random_engine &Random, item_placement &Placement,
+                         size_t Count) const {
+    static constexpr std::string_view Models[] = {"m", "n"};
+    random_fleet Fleet;
+    for (size_t I = 0; I < Count; ++I)
+      Fleet.Ids.push_back("r" + std::to_string(I));
+    for (const std::string &Id : Fleet.Ids) {
+      replica_capacity Replica = replica(Id, unsigned(below(Random, 4)));
+      Replica.SameFailureDomain = below(Random, 2) == 0;
+      Replica.Versions = {{Models[below(Random, 2)], 1 + below(Random, 3)}};
+      Fleet.Replicas.push_back(std::move(Replica));
+      if (below(Random, 4) == 0)
+        continue;
+      const milliseconds Age(below(Random, 3) == 0 ? 5000 : 0);
+      Placement.onProgress(Id, 100, milliseconds(50 + below(Random, 300)),
+                           Now - Age);
+    }
+    return Fleet;
+  }
+
+  /// The placement that comparing each item with each replica yields.
+  std::vector<placed_item>
+  placeExhaustively(const item_placement &Placement,
+                    std::vector<waiting_item> Waiting,
+                    std::vector<replica_capacity> Replicas) const {
+    std::sort(
+        Waiting.begin(), Waiting.end(),
+        [](const waiting_item &A, const waiting_item &B) {
+          return std::tuple(A.Spare, A.DueAt, -A.RemainingTokens, A.Index) <
+                 std::tuple(B.Spare, B.DueAt, -B.RemainingTokens, B.Index);
+        });
+    std::vector<placed_item> Placed;
+    for (const waiting_item &Item : Waiting) {
+      std::optional<std::pair<double, size_t>> Best;
+      for (size_t I = 0; I < Replicas.size(); ++I) {
+        const replica_capacity &Replica = Replicas[I];
+        const auto Version = Replica.Versions.find(Item.Model);
+        if (Replica.FreeSlots == 0 || Version == Replica.Versions.end() ||
+            Version->second < Item.MinVersion ||
+            (Item.ExactVersion != 0 && Version->second != Item.ExactVersion))
+          continue;
+        double Cost = Placement.msPerToken(Replica.Id, Now);
+        if (Replica.SameFailureDomain)
+          Cost *= 0.95;
+        Cost *= 1 + 0.1 * (1 - double(Replica.FreeSlots) / Replica.Slots);
+        if (Replica.Id == Item.AvoidReplica)
+          Cost *= 100;
+        Best = std::min(Best.value_or(std::pair(Cost, I)), std::pair(Cost, I));
+      }
+      if (!Best)
+        continue;
+      --Replicas[Best->second].FreeSlots;
+      Placed.push_back({.Index = Item.Index, .Replica = Best->second});
+    }
+    return Placed;
+  }
+
+  /// The moves that comparing each item with each replica yields.
+  std::vector<placed_item>
+  moveExhaustively(const item_placement &Placement,
+                   std::span<const running_item> Running,
+                   std::vector<replica_capacity> Replicas) const {
+    std::vector<std::tuple<double, size_t, size_t>> Candidates;
+    for (const running_item &Item : Running) {
+      const double RemainingMs =
+          Item.RemainingTokens *
+          Placement.msPerToken(Replicas[Item.Replica].Id, Now);
+      for (size_t I = 0; I < Replicas.size(); ++I) {
+        const auto Version = Replicas[I].Versions.find(Item.Model);
+        if (Replicas[I].FreeSlots == 0 ||
+            Version == Replicas[I].Versions.end() ||
+            Version->second < Item.MinVersion ||
+            (Item.ExactVersion != 0 && Version->second != Item.ExactVersion))
+          continue;
+        const double Gain =
+            RemainingMs -
+            Item.RemainingTokens * Placement.msPerToken(Replicas[I].Id, Now);
+        if (Gain > RemainingMs * 0.3 && Gain > 150)
+          Candidates.emplace_back(-Gain, Item.Index, I);
+      }
+    }
+    std::sort(Candidates.begin(), Candidates.end());
+    std::set<size_t> Moved;
+    std::vector<placed_item> Moves;
+    for (const auto &[Gain, Index, Replica] : Candidates) {
+      if (Replicas[Replica].FreeSlots == 0 || !Moved.insert(Index).second)
+        continue;
+      --Replicas[Replica].FreeSlots;
+      Moves.push_back({.Index = Index, .Replica = Replica});
+    }
+    return Moves;
+  }
+
+  static std::vector<std::pair<size_t, size_t>>
+  pairs(std::span<const placed_item> Placed) {
+    std::vector<std::pair<size_t, size_t>> Pairs;
+    for (const placed_item &Item : Placed)
+      Pairs.emplace_back(Item.Index, Item.Replica);
+    return Pairs;
+  }
+
+public:
+  // Guards against a faster search that places items elsewhere.
+  void placesAsExhaustiveSearch() {
+    for (uint64_t Seed = 1; Seed <= 300; ++Seed) {
+      random_engine Random(Seed);
+      item_placement Placement({});
+      const random_fleet Fleet =
+          makeFleet(Random, Placement, 1 + below(Random, 12));
+      std::vector<waiting_item> Waiting;
+      for (size_t I = 0; I < 20; ++I) {
+        waiting_item Item = item(I, double(below(Random, 1000)));
+        Item.Model = below(Random, 2) == 0 ? "m" : "n";
+        Item.MinVersion = below(Random, 3);
+        Item.ExactVersion = below(Random, 4) == 0 ? 2 : 0;
+        Item.Spare = below(Random, 4) == 0;
+        Item.DueAt = Now + milliseconds(1000 * below(Random, 2));
+        if (below(Random, 3) == 0)
+          Item.AvoidReplica = Fleet.Ids[below(Random, Fleet.Ids.size())];
+        Waiting.push_back(Item);
+      }
+      CPPUNIT_ASSERT_MESSAGE(
+          "seed " + std::to_string(Seed),
+          pairs(Placement.place(Waiting, Fleet.Replicas, Now)) ==
+              pairs(placeExhaustively(Placement, Waiting, Fleet.Replicas)));
+    }
+  }
+
+  void movesAsExhaustiveSearch() {
+    for (uint64_t Seed = 1; Seed <= 300; ++Seed) {
+      random_engine Random(Seed);
+      item_placement Placement({});
+      const random_fleet Fleet =
+          makeFleet(Random, Placement, 1 + below(Random, 12));
+      std::vector<running_item> Running;
+      for (size_t I = 0; I < 20; ++I)
+        Running.push_back({.Index = I,
+                           .Model = below(Random, 2) == 0 ? "m" : "n",
+                           .MinVersion = below(Random, 3),
+                           .ExactVersion = below(Random, 4) == 0 ? 2U : 0U,
+                           .RemainingTokens = double(below(Random, 3000)),
+                           .Replica = below(Random, Fleet.Ids.size())});
+      CPPUNIT_ASSERT_MESSAGE(
+          "seed " + std::to_string(Seed),
+          pairs(Placement.planMoves(Running, Fleet.Replicas, Now)) ==
+              pairs(moveExhaustively(Placement, Running, Fleet.Replicas)));
+    }
+  }
+
+  // Guards against passes whose time grows with the product of items and
+  // replicas: the scheduler plans moves every 200 ms. The load is a fleet of
+  // 3,000 replicas, many of unknown speed, with as many waiting and twice as
+  // many running items.
+  void passOverThousandsOfReplicasFitsTick() {
+#if defined(__SANITIZE_ADDRESS__) || defined(__SANITIZE_THREAD__)
+    static constexpr std::chrono::milliseconds MaxTime{2000};
+#else
+    static constexpr std::chrono::milliseconds MaxTime{200};
+#endif
+    static constexpr size_t ReplicaCount = 3000;
+    random_engine Random(1);
+    item_placement Placement({});
+    const random_fleet Fleet = makeFleet(Random, Placement, ReplicaCount);
+    std::vector<waiting_item> Waiting;
+    for (size_t I = 0; I < ReplicaCount; ++I)
+      Waiting.push_back(item(I, double(below(Random, 1000))));
+    std::vector<running_item> Running;
+    for (size_t I = 0; I < 2 * ReplicaCount; ++I)
+      Running.push_back({.Index = I,
+                         .Model = "m",
+                         .RemainingTokens = double(below(Random, 3000)),
+                         .Replica = below(Random, ReplicaCount)});
+    const auto Start = std::chrono::steady_clock::now();
+    const size_t Placed = Placement.place(Waiting, Fleet.Replicas, Now).size();
+    const size_t Moved =
+        Placement.planMoves(Running, Fleet.Replicas, Now).size();
+    const auto Time = std::chrono::steady_clock::now() - Start;
+    CPPUNIT_ASSERT(Placed > 1000);
+    CPPUNIT_ASSERT(Moved > 500);
+    CPPUNIT_ASSERT_MESSAGE(
+        std::to_string(
+            std::chrono::duration_cast<std::chrono::milliseconds>(Time)
+                .count()) +
+            " ms",
+        Time < MaxTime);
+  }
 };
 
 CPPUNIT_TEST_SUITE_NAMED_REGISTRATION(item_placement_test,
