Accept only requests that end before a planned stop does

What callers saw: a gateway that had got SIGTERM accepted requests until it refused connections, 3.75 s later, passed them on, and closed their connections without an answer when it exited after 7.5 s. Streams and requests on kept connections were cut in the same way.

Cause: the phases of the stop depended on the time alone; nothing compared the time limit of a request with the time that was left. Ruled out: that connections are accepted too long. A kept or slow connection brings a request later than any point at which connections are refused, and short requests on new ones are served.

Change: policy/shutdown_plan decides what is accepted: everything while the balancer may not know of the stop yet, then only what ends before the process does. The rest is rejected at once with 503 and a short Retry-After, and is sent to no replica. What is still unfinished shortly before the exit is answered with 502, and a begun stream is ended incomplete. All requests, also forwarded ones, pass through the same check, so nothing is accepted whose end nobody waits for.

--- a/http/http_server.cpp
+++ b/http/http_server.cpp
@@ -82,6 +82,11 @@
   void finishResponse();
   void setResponseComplete() { ResponseComplete = true; }
   [[nodiscard]] bool streamOverflowed() const { return StreamOverflowed; }
+  /// Returns the request that is being handled, or null.
+  [[nodiscard]] exchange_ptr unfinishedExchange() const {
+    exchange_ptr Current = Exchange.lock();
+    return Current && !Current->ResponseFinished ? Current : nullptr;
+  }
   [[nodiscard]] bool closeAfterResponse() const {
     return !KeepAlive || Server->DrainIdleTimeout.has_value();
   }
@@ -490,4 +495,12 @@
   return State->OpenConnections.size();
 }
 
+std::vector<exchange_ptr> http_server::unfinishedExchanges() const {
+  std::vector<exchange_ptr> Exchanges;
+  for (const server_connection_state *Connection : State->OpenConnections)
+    if (exchange_ptr Exchange = Connection->unfinishedExchange())
+      Exchanges.push_back(std::move(Exchange));
+  return Exchanges;
+}
+
 } // namespace cardamom
--- a/http/http_server.h
+++ b/http/http_server.h
@@ -26,6 +26,7 @@
 #include <memory>
 #include <string>
 #include <string_view>
+#include <vector>
 
 namespace cardamom {
 
@@ -109,6 +110,9 @@
   /// Number of requests without a complete response.
   [[nodiscard]] size_t requestsInFlight() const;
   [[nodiscard]] size_t connections() const;
+  /// The requests without a complete response.
+  [[nodiscard]] std::vector<std::shared_ptr<http_exchange>>
+  unfinishedExchanges() const;
 
   /// Implementation state, shared with the connections.
   struct state;
--- a/jobs/job_request_handler.cpp
+++ b/jobs/job_request_handler.cpp
@@ -9,6 +9,7 @@
 #include "jobs/job_document.h"
 #include "jobs/pool_leadership.h"
 
+#include <algorithm>
 #include <cstdio>
 #include <stdexcept>
 
@@ -256,6 +257,11 @@
       });
 }
 
+milliseconds job_request_handler::timeLimit(milliseconds Wait) const {
+  return std::max(Options.SubmitTimeout, Wait + Options.ForwardTimeout) +
+         DefaultStoreCallTimeout;
+}
+
 void job_request_handler::call(const exchange_ptr &Exchange,
                                const job_call &Call,
                                std::vector<std::string> Pools, bool Forwarded) {
--- a/jobs/job_request_handler.h
+++ b/jobs/job_request_handler.h
@@ -67,6 +67,9 @@
   /// Pools: services of the rollout routes on the call's host.
   void call(const exchange_ptr &Exchange, const job_call &Call,
             std::vector<std::string> Pools, bool Forwarded);
+  /// Returns the longest time that a call takes while the store is reachable;
+  /// Wait: how long a reader may be kept waiting for results.
+  [[nodiscard]] milliseconds timeLimit(milliseconds Wait) const;
 
 private:
   struct submission;
--- a/server/gateway.cpp
+++ b/server/gateway.cpp
@@ -14,6 +14,7 @@
 #include "jobs/job_request_handler.h"
 #include "jobs/pool_leadership.h"
 #include "policy/router.h"
+#include "policy/shutdown_plan.h"
 #include "server/request_handler.h"
 #include "store/object_watcher.h"
 #include "store/upsert_object.h"
@@ -58,10 +59,6 @@
 /// Idle timeout of callers' connections once a stopping process is out of
 /// rotation, that is after DrainNotice.
 static constexpr milliseconds DrainIdleTimeout{250};
-/// Callers may still connect to a stopping process, although it reports that it
-/// is not ready. It refuses connections after this fraction of its stop
-/// timeout, so that the requests it has accepted can end within the rest.
-static constexpr double AcceptFraction = 0.5;
 /// Number of gateways that watch for retirements. Each responds after a random
 /// delay, so that usually only one does.
 static constexpr size_t RetirementWatchers = 3;
@@ -135,10 +132,11 @@
   timer_handle MaintenanceTimer;
   timer_handle StopTimer;
   std::map<std::string, timer_handle> RetirementTimers;
-  bool Stopping = false;
+  /// Set while the process is stopping.
+  std::optional<shutdown_plan> Shutdown;
   bool Draining = false;
   bool RefusingConnections = false;
-  time_point StoppedAt{};
+  bool UnfinishedAnswered = false;
 };
 
 gateway::state::state(event_loop &Loop, http_client &Client,
@@ -202,7 +200,13 @@
                .StreamClient = StreamClient,
                .JobHandler = JobHandler,
                .Protocols = Options.Protocols,
-               .Random = [this] { return random(); }}) {}
+               .Random = [this] { return random(); },
+               .Accepts =
+                   [this](time_point ReceivedAt,
+                          std::optional<milliseconds> TimeLimit) {
+                     return !Shutdown ||
+                            Shutdown->accepts(ReceivedAt, TimeLimit);
+                   }}) {}
 
 std::string gateway::state::newId() {
   static constexpr std::string_view Hex = "0123456789abcdef";
@@ -380,7 +384,7 @@
 
 /// Creates a pool for each new service of model engines.
 void gateway::state::updatePools() {
-  if (Stopping)
+  if (Shutdown)
     return;
   for (const auto &[Name, Service] : Handler.config().Services) {
     if (!Service.IsEngine || Pools.contains(Name))
@@ -507,7 +511,7 @@
 
 void gateway::state::handleReadiness(const exchange_ptr &Exchange) const {
   const bool Ready =
-      !Stopping && Handler.configured() && ReplicaWatcher->ready();
+      !Shutdown && Handler.configured() && ReplicaWatcher->ready();
   Exchange->respond({.Status = Ready ? 200U : 503U, .Headers = {}, .Body = {}});
 }
 
@@ -628,10 +632,11 @@
 }
 
 void gateway::state::stop() {
-  if (Stopping)
+  if (Shutdown)
     return;
-  Stopping = true;
-  StoppedAt = event_loop::now();
+  Shutdown.emplace(shutdown_plan_options{.StoppedAt = event_loop::now(),
+                                         .DrainNotice = Options.DrainNotice,
+                                         .StopTimeout = Options.StopTimeout});
   logInfo("stopping",
           {{"in_flight", std::to_string(CallerServer->requestsInFlight())}});
   for (const auto &[Name, Pool] : Pools)
@@ -640,22 +645,25 @@
 }
 
 void gateway::state::checkStopped() {
-  const auto Elapsed = event_loop::now() - StoppedAt;
-  if (Elapsed >= Options.DrainNotice && !Draining) {
+  const time_point Now = event_loop::now();
+  if (Shutdown->drainsConnections(Now) && !Draining) {
     Draining = true;
     CallerServer->drain(DrainIdleTimeout);
   }
-  if (Elapsed >= Options.StopTimeout * AcceptFraction && Draining &&
-      !RefusingConnections) {
+  if (Shutdown->refusesConnections(Now) && !RefusingConnections) {
     RefusingConnections = true;
     CallerServer->refuseConnections();
     logInfo("connections_refused",
             {{"in_flight", std::to_string(CallerServer->requestsInFlight())}});
   }
+  if (Shutdown->answersUnfinished(Now) && !UnfinishedAnswered) {
+    UnfinishedAnswered = true;
+    for (const exchange_ptr &Exchange : CallerServer->unfinishedExchanges())
+      Handler.endUnfinished(Exchange);
+  }
   const bool Idle =
       CallerServer->requestsInFlight() == 0 && CallerServer->connections() == 0;
-  const bool Done = Elapsed >= Options.DrainNotice && Idle;
-  if (Done || Elapsed >= Options.StopTimeout) {
+  if (Shutdown->isOver(Now, Idle)) {
     logInfo("stopped",
             {{"in_flight", std::to_string(CallerServer->requestsInFlight())}});
     Loop.stop();
--- a/server/request_handler.cpp
+++ b/server/request_handler.cpp
@@ -92,7 +92,37 @@
   return Route.Services.back().Service;
 }
 
+bool request_handler::rejectIfStopping(const exchange_ptr &Exchange,
+                                       std::string_view RequestId,
+                                       std::optional<milliseconds> TimeLimit) {
+  if (!Options.Accepts || Options.Accepts(Exchange->receivedAt(), TimeLimit))
+    return false;
+  const auto RetryAfter = milliseconds(
+      1 + long(Options.Random() * double(Options.StoppingRetryAfter.count())));
+  reject(Exchange, RequestId, StatusUnavailable, "stopping", RetryAfter);
+  return true;
+}
+
+void request_handler::endUnfinished(const exchange_ptr &Exchange) {
+  const auto It = std::find_if(
+      PendingRequests.begin(), PendingRequests.end(),
+      [&](const auto &Entry) { return Entry.second->Exchange == Exchange; });
+  const std::string RequestId =
+      It == PendingRequests.end() ? std::string() : It->second->RequestId;
+  metrics::get().counter("requests_cut_by_stop_total").add();
+  if (Exchange->responseStarted()) {
+    logInfo("request_cut", {{"request", RequestId}, {"reason", "stopping"}});
+    Exchange->abort();
+  } else {
+    // The request may have run, so 503 would not be correct.
+    reject(Exchange, RequestId, StatusBadGateway, "stopping");
+  }
+  if (It != PendingRequests.end())
+    PendingRequests.erase(It);
+}
+
 bool request_handler::handleJobCall(const exchange_ptr &Exchange,
+                                    std::string_view RequestId,
                                     bool Forwarded) {
   const auto Call = Options.Protocols.DecodeJobCall(Exchange->request());
   if (!Call)
@@ -105,7 +135,9 @@
         Pools.push_back(Candidate.Service);
   if (Pools.empty())
     return false;
-  Options.JobHandler.call(Exchange, *Call, std::move(Pools), Forwarded);
+  if (!rejectIfStopping(Exchange, RequestId,
+                        Options.JobHandler.timeLimit(Call->Wait)))
+    Options.JobHandler.call(Exchange, *Call, std::move(Pools), Forwarded);
   return true;
 }
 
@@ -120,7 +152,7 @@
              Options.RetryAfter);
       return;
     }
-    if (handleJobCall(Exchange, Forwarded))
+    if (handleJobCall(Exchange, Id, Forwarded))
       return;
     const route *Route =
         findRoute(Request.UpstreamRequest.Host, Message.Target);
@@ -128,6 +160,8 @@
       reject(Exchange, Id, StatusNotFound, "no_route");
       return;
     }
+    if (rejectIfStopping(Exchange, Id, timeLimit(*Route, Request)))
+      return;
     if (Route->Kind == route_kind::Rollout) {
       Options.JobHandler.submit(Exchange, *Route, Id, Forwarded);
       return;
@@ -141,6 +175,22 @@
   }
 }
 
+std::optional<milliseconds>
+request_handler::timeLimit(const route &Route,
+                           const inbound_request &Request) const {
+  switch (Route.Kind) {
+  case route_kind::Rollout:
+    return Options.JobHandler.timeLimit(milliseconds(0));
+  case route_kind::Stream:
+    // The timeout of a stream limits the wait for its first event only.
+    return std::nullopt;
+  case route_kind::Idempotent:
+  case route_kind::NonIdempotent:
+    break;
+  }
+  return effectiveTimeout(Route, Request);
+}
+
 milliseconds request_handler::effectiveTimeout(const route &Route,
                                                const inbound_request &Request) {
   milliseconds Limit = MaxTimeout;
--- a/server/request_handler.h
+++ b/server/request_handler.h
@@ -17,6 +17,7 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <optional>
 #include <string>
 
 namespace cardamom {
@@ -36,8 +37,17 @@
   const gateway_protocols &Protocols;
   /// Uniform random number in [0, 1).
   std::function<double()> Random;
+  /// Whether this process accepts a request that was received at ReceivedAt and
+  /// ends after at most TimeLimit; nullopt = its duration has no limit. A
+  /// process that is stopping rejects what it may not finish. Null = always.
+  std::function<bool(time_point ReceivedAt,
+                     std::optional<milliseconds> TimeLimit)>
+      Accepts;
   /// Retry-After while no configuration is installed.
   milliseconds RetryAfter{300};
+  /// Upper bound on Retry-After of requests that a stopping process rejects.
+  /// Other processes can serve them at once; it only spreads the retries.
+  milliseconds StoppingRetryAfter{50};
 };
 
 class request_handler {
@@ -58,11 +68,20 @@
   /// Forwarded: the request comes from another gateway and is not forwarded
   /// again.
   void handle(const exchange_ptr &Exchange, bool Forwarded);
+  /// Gives up a request that has no complete response yet, because the process
+  /// exits: responds with an error, or ends a stream that has begun so that it
+  /// does not look complete.
+  void endUnfinished(const exchange_ptr &Exchange);
 
 private:
   struct pending_request;
 
-  bool handleJobCall(const exchange_ptr &Exchange, bool Forwarded);
+  /// Responds with an error if the process does not accept the request.
+  bool rejectIfStopping(const exchange_ptr &Exchange,
+                        std::string_view RequestId,
+                        std::optional<milliseconds> TimeLimit);
+  bool handleJobCall(const exchange_ptr &Exchange, std::string_view RequestId,
+                     bool Forwarded);
   void forwardUnary(const exchange_ptr &Exchange, const route &Route,
                     inbound_request Request);
   void forwardStream(const exchange_ptr &Exchange, const route &Route,
@@ -72,6 +91,9 @@
                              const std::string &RequestId);
   void rejectWithVerdict(const pending_request &Pending,
                          const verdict &Verdict);
+  /// Returns the longest time that the request can take; nullopt = no limit.
+  [[nodiscard]] std::optional<milliseconds>
+  timeLimit(const route &Route, const inbound_request &Request) const;
   static milliseconds effectiveTimeout(const route &Route,
                                        const inbound_request &Request);
   void onUnaryResult(uint64_t Id, const unary_result &Result);
