Resolve calls on batch jobs without their route

What callers saw: once a configuration had removed the route of a trainer, every gateway answered 404 to reads of an accepted, open job, of its listed results and its item bodies, and to its end, while its items went on running. A repeated submission, after a 202 that was lost, got 404 as well.

Cause: handleJobCall took the pools to ask from the host's routes in the newest configuration, and without one treated the call as a request on an unknown path. A configuration decides about new jobs only. Ruled out: the scheduler drops the job (it goes on listing results) and the store's object is gone (nothing removes jobs).

Change: a call needs no route; without one the schedulers of all known pools are asked, then the store, whose answer is authoritative. A submission without a route gets 202 if the store has the job from that host, 504 if the store cannot be asked, 404 otherwise.

--- a/jobs/job_request_handler.cpp
+++ b/jobs/job_request_handler.cpp
@@ -257,6 +257,61 @@
       });
 }
 
+static bool isSubmission(const gateway_protocols &Protocols,
+                         const std::string &Body) {
+  try {
+    return !Protocols.DecodeJob(Body).Items.empty();
+  } catch (const std::invalid_argument &) {
+    return false;
+  }
+}
+
+static bool isFromHost(const object_reply &Reply, std::string_view Host) {
+  try {
+    return !Reply.Objects.empty() &&
+           decodeJobDocument(Reply.Objects.front()).Host == Host;
+  } catch (const std::invalid_argument &Error) {
+    logError("job_unreadable", {{"reason", Error.what()}});
+    return false;
+  }
+}
+
+void job_request_handler::confirmSubmission(const exchange_ptr &Exchange,
+                                            const std::string &RequestId,
+                                            std::function<void()> OnUnknown) {
+  if (!isSubmission(Options.Protocols, Exchange->request().Body)) {
+    OnUnknown();
+    return;
+  }
+  Options.Store.call(
+      {.Op = object_op::Get, .Kind = Options.JobKind, .Name = RequestId},
+      [this, Weak = std::weak_ptr<bool>(Alive), Exchange, RequestId,
+       OnUnknown = std::move(OnUnknown)](const object_reply &Reply) {
+        if (Weak.expired())
+          return;
+        const bool Known =
+            Reply.Outcome == object_outcome::Done &&
+            isFromHost(Reply, Exchange->request().Headers.get("Host"));
+        logInfo("job_confirmed",
+                {{"job", RequestId},
+                 {"outcome", std::string(toString(Reply.Outcome))},
+                 {"accepted", Known ? "yes" : "no"}});
+        if (Known) {
+          answer(Exchange, StatusAccepted, "{}", JsonContentType);
+          return;
+        }
+        if (Reply.Outcome == object_outcome::Done ||
+            Reply.Outcome == object_outcome::NotFound) {
+          OnUnknown();
+          return;
+        }
+        // It is unknown whether the job has been accepted, so neither 404 nor
+        // 503 would be correct.
+        answer(Exchange, StatusTimeout, errorBody("store_lost"),
+               JsonContentType);
+      });
+}
+
 milliseconds job_request_handler::timeLimit(milliseconds Wait) const {
   return std::max(Options.SubmitTimeout, Wait + Options.ForwardTimeout) +
          DefaultStoreCallTimeout;
@@ -269,7 +324,7 @@
   Pending->Exchange = Exchange;
   Pending->JobId = Call.JobId;
   Pending->Call = Call;
-  Pending->Pools = std::move(Pools);
+  Pending->Pools = Pools.empty() ? Options.KnownPools() : std::move(Pools);
   Pending->Forwarded = Forwarded;
   switch (Call.Kind) {
   case job_call_kind::ReadResults:
--- a/jobs/job_request_handler.h
+++ b/jobs/job_request_handler.h
@@ -35,6 +35,8 @@
   std::string ResultKind;
   /// Returns null if this gateway does not know the pool.
   std::function<pool_leadership *(const std::string &Pool)> FindPool;
+  /// Names of all pools that this gateway knows.
+  std::function<std::vector<std::string>()> KnownPools;
   /// Inner addresses of other gateways; calls are forwarded to the first
   /// MaxForwards of them.
   std::function<std::vector<std::string>()> Peers;
@@ -64,7 +66,14 @@
   /// again.
   void submit(const exchange_ptr &Exchange, const route &Route,
               const std::string &RequestId, bool Forwarded);
-  /// Pools: services of the rollout routes on the call's host.
+  /// Responds to a submission that no route matches: accepted if the store has
+  /// this job from the same host, that is, if it was accepted while the route
+  /// existed. Calls OnUnknown if it has not, or if the body is no job.
+  void confirmSubmission(const exchange_ptr &Exchange,
+                         const std::string &RequestId,
+                         std::function<void()> OnUnknown);
+  /// Pools: services of the rollout routes on the call's host. If there is no
+  /// such route any more, the job may belong to any pool.
   void call(const exchange_ptr &Exchange, const job_call &Call,
             std::vector<std::string> Pools, bool Forwarded);
   /// Returns the longest time that a call takes while the store is reachable;
--- a/server/gateway.cpp
+++ b/server/gateway.cpp
@@ -194,6 +194,13 @@
            .ResultKind = std::string(ResultKind),
            .FindPool =
                [this](const std::string &Pool) { return findPool(Pool); },
+           .KnownPools =
+               [this] {
+                 std::vector<std::string> Names;
+                 for (const auto &[Name, Pool] : Pools)
+                   Names.push_back(Name);
+                 return Names;
+               },
            .Peers = [this] { return shuffledPeers(); },
            .UnixNow = unixNowMs}),
       Handler({.UnaryClient = UnaryClient,
--- a/server/request_handler.cpp
+++ b/server/request_handler.cpp
@@ -133,7 +133,9 @@
       if (std::find(Pools.begin(), Pools.end(), Candidate.Service) ==
           Pools.end())
         Pools.push_back(Candidate.Service);
-  if (Pools.empty())
+  // An accepted job outlives its route, so its calls need none. On a host
+  // without routes for jobs, a route that matches the path has precedence.
+  if (Pools.empty() && findRoute(Call->Host, Exchange->request().Target))
     return false;
   if (!rejectIfStopping(Exchange, RequestId,
                         Options.JobHandler.timeLimit(Call->Wait)))
@@ -157,7 +159,7 @@
     const route *Route =
         findRoute(Request.UpstreamRequest.Host, Message.Target);
     if (!Route) {
-      reject(Exchange, Id, StatusNotFound, "no_route");
+      handleUnrouted(Exchange, Id);
       return;
     }
     if (rejectIfStopping(Exchange, Id, timeLimit(*Route, Request)))
@@ -175,6 +177,19 @@
   }
 }
 
+/// Rejects a request without a route, unless it repeats the submission of a job
+/// that was accepted while the route existed.
+void request_handler::handleUnrouted(const exchange_ptr &Exchange,
+                                     const std::string &RequestId) {
+  const auto Reject = [this, Exchange, RequestId] {
+    reject(Exchange, RequestId, StatusNotFound, "no_route");
+  };
+  if (Exchange->request().Method == "POST" && !RequestId.empty())
+    Options.JobHandler.confirmSubmission(Exchange, RequestId, Reject);
+  else
+    Reject();
+}
+
 std::optional<milliseconds>
 request_handler::timeLimit(const route &Route,
                            const inbound_request &Request) const {
--- a/server/request_handler.h
+++ b/server/request_handler.h
@@ -82,6 +82,8 @@
                         std::optional<milliseconds> TimeLimit);
   bool handleJobCall(const exchange_ptr &Exchange, std::string_view RequestId,
                      bool Forwarded);
+  void handleUnrouted(const exchange_ptr &Exchange,
+                      const std::string &RequestId);
   void forwardUnary(const exchange_ptr &Exchange, const route &Route,
                     inbound_request Request);
   void forwardStream(const exchange_ptr &Exchange, const route &Route,
