Keep the terms of an accepted job when its route is lost

What callers would see: after the route of an open job has been removed and its scheduler has been replaced, an item is listed as aborted after one failure, never expires, and may mix versions of the weights where one is required. An item whose scoring call fails is aborted at once if the scoring route is removed meanwhile.

Cause: addJob read attempts, age limit and single version from the newest configuration, and fell back to defaults without a route; onScored read the number of attempts when the answer came.

Change: the accepting gateway stores these values with the job, and schedulers use them; jobs stored without them take the route's as before. The number of scoring attempts is that of the route by which the call was sent.

--- a/jobs/job.h
+++ b/jobs/job.h
@@ -38,6 +38,19 @@
   std::optional<scoring_call> Scoring;
 };
 
+/// What the route of a job said when the job was accepted. The job keeps it
+/// even if the configuration changes or loses the route.
+struct job_terms {
+  /// Time from submission until the results are due.
+  milliseconds JobTimeout{0};
+  /// Number of failures after which an item or its scoring call is given up.
+  unsigned MaxAttempts = 1;
+  /// Age at which an unfinished item may be abandoned; zero = never.
+  milliseconds ItemTtl{0};
+  /// All tokens of a sample must come from one weight version.
+  bool SingleVersion = false;
+};
+
 struct job {
   std::string Id;
   std::string Host;
@@ -51,6 +64,8 @@
   uint64_t MinVersion = 0;
   /// Number of complete groups that the trainer waits for; 0 = all.
   uint64_t TargetGroups = 0;
+  /// Absent if the job was stored by a version without this field.
+  std::optional<job_terms> Terms;
   std::vector<job_item> Items;
 };
 
--- a/jobs/job_document.cpp
+++ b/jobs/job_document.cpp
@@ -8,12 +8,40 @@
 
 using nlohmann::json;
 
+job_terms termsOf(const route &Route) {
+  return {.JobTimeout = Route.JobTimeout,
+          .MaxAttempts = Route.MaxAttempts,
+          .ItemTtl = Route.ItemTtl,
+          .SingleVersion = Route.SingleVersion};
+}
+
+static json encodeTerms(const job_terms &Terms) {
+  return {{"job_timeout_ms", Terms.JobTimeout.count()},
+          {"max_attempts", Terms.MaxAttempts},
+          {"item_ttl_ms", Terms.ItemTtl.count()},
+          {"single_version", Terms.SingleVersion}};
+}
+
+static std::optional<job_terms> decodeTerms(const json &Spec) {
+  const auto Found = Spec.find("terms");
+  if (Found == Spec.end())
+    return std::nullopt;
+  return job_terms{
+      .JobTimeout = milliseconds(Found->at("job_timeout_ms").get<uint32_t>()),
+      .MaxAttempts = Found->at("max_attempts"),
+      .ItemTtl = milliseconds(Found->at("item_ttl_ms").get<uint32_t>()),
+      .SingleVersion = Found->at("single_version")};
+}
+
 json encodeJobDocument(const job_document &Document) {
-  return {{"host", Document.Host},
-          {"target", Document.Target},
-          {"pool", Document.Pool},
-          {"submitted_at_ms", Document.SubmittedAtMs},
-          {"submission", Document.Submission}};
+  json Spec = {{"host", Document.Host},
+               {"target", Document.Target},
+               {"pool", Document.Pool},
+               {"submitted_at_ms", Document.SubmittedAtMs},
+               {"submission", Document.Submission}};
+  if (Document.Terms)
+    Spec["terms"] = encodeTerms(*Document.Terms);
+  return Spec;
 }
 
 job_document decodeJobDocument(const stored_object &Object) {
@@ -22,6 +50,7 @@
             .Target = Object.Spec.at("target"),
             .Pool = Object.Spec.at("pool"),
             .SubmittedAtMs = Object.Spec.at("submitted_at_ms"),
+            .Terms = decodeTerms(Object.Spec),
             .Submission = Object.Spec.at("submission")};
   } catch (const json::exception &Error) {
     throw std::invalid_argument("stored job \"" + Object.Name +
@@ -37,6 +66,7 @@
   Job.Host = Document.Host;
   Job.Target = Document.Target;
   Job.SubmittedAtMs = Document.SubmittedAtMs;
+  Job.Terms = Document.Terms;
   return Job;
 }
 
--- a/jobs/job_document.h
+++ b/jobs/job_document.h
@@ -6,6 +6,10 @@
 #define CARDAMOM_JOBS_JOB_DOCUMENT_H
 
 #include "gateway/protocols.h"
+#include "jobs/job.h"
+
+#include <optional>
+#include <string>
 
 namespace cardamom {
 
@@ -14,10 +18,14 @@
   std::string Target;
   std::string Pool;
   uint64_t SubmittedAtMs = 0;
+  std::optional<job_terms> Terms;
   /// Unmodified body of the submission.
   std::string Submission;
 };
 
+/// Terms of a job that is accepted through the route.
+job_terms termsOf(const route &Route);
+
 nlohmann::json encodeJobDocument(const job_document &Document);
 /// Throws std::invalid_argument if the object is malformed.
 job_document decodeJobDocument(const stored_object &Object);
--- a/jobs/job_request_handler.cpp
+++ b/jobs/job_request_handler.cpp
@@ -206,6 +206,7 @@
            .Target = Exchange->request().Target,
            .Pool = Pool,
            .SubmittedAtMs = Options.UnixNow(),
+           .Terms = termsOf(Route),
            .Submission = Exchange->request().Body})};
   create(Submission);
 }
--- a/jobs/job_scheduler.cpp
+++ b/jobs/job_scheduler.cpp
@@ -6,6 +6,7 @@
 #include "gateway/unary_client.h"
 #include "http/event_loop.h"
 #include "jobs/item_run.h"
+#include "jobs/job_document.h"
 #include "jobs/result_page.h"
 #include "jobs/result_writer.h"
 #include "policy/result_batch_delay.h"
@@ -62,6 +63,8 @@
   /// Consecutive broken runs without an event.
   unsigned EmptyRuns = 0;
   unsigned ScoringFailures = 0;
+  /// As in the scoring call's route when the call was last sent.
+  unsigned MaxScoringAttempts = 1;
   bool Spare = false;
   time_point NotBefore{};
   time_point FirstStartedAt{};
@@ -141,6 +144,12 @@
   return Jobs.find(Id) != Jobs.end();
 }
 
+bool job_scheduler::needsSingleVersions() const {
+  return std::any_of(Jobs.begin(), Jobs.end(), [](const auto &Entry) {
+    return !Entry.second->Ended && Entry.second->SingleVersion;
+  });
+}
+
 size_t job_scheduler::openJobCount() const {
   return size_t(std::count_if(Jobs.begin(), Jobs.end(), [](const auto &Entry) {
     const job_state &Job = *Entry.second;
@@ -153,18 +162,20 @@
     return;
   auto Job = std::make_shared<job_state>(std::move(NewJob));
   const time_point Now = event_loop::now();
-  const route *Route = Options.FindRoute(Job->Job.Host, Job->Job.Target);
+  if (!Job->Job.Terms)
+    if (const route *Route = Options.FindRoute(Job->Job.Host, Job->Job.Target))
+      Job->Job.Terms = termsOf(*Route);
   const uint64_t AgeMs =
       Options.UnixNow() - std::min(Options.UnixNow(), Job->Job.SubmittedAtMs);
   Job->AddedAt = Now;
   Job->DueAt = Now - milliseconds(AgeMs);
-  if (Route) {
-    Job->DueAt += Route->JobTimeout;
-    Job->MaxAttempts = Route->MaxAttempts;
-    Job->SingleVersion = Route->SingleVersion;
-    if (Route->ItemTtl.count() > 0)
+  if (const auto &Terms = Job->Job.Terms) {
+    Job->DueAt += Terms->JobTimeout;
+    Job->MaxAttempts = Terms->MaxAttempts;
+    Job->SingleVersion = Terms->SingleVersion;
+    if (Terms->ItemTtl.count() > 0)
       Job->ExpiresAtMs = Job->Job.SubmittedAtMs +
-                         uint64_t(Route->ItemTtl.count()) + MaxClockSkewMs;
+                         uint64_t(Terms->ItemTtl.count()) + MaxClockSkewMs;
   }
   for (const job_item &Item : Job->Job.Items) {
     auto State = std::make_unique<item_state>();
@@ -690,6 +701,7 @@
         runLater(MissingRouteRetryDelay, [this, &Item] { startScoring(Item); });
     return;
   }
+  Item.MaxScoringAttempts = Route->MaxAttempts;
   const time_point Now = event_loop::now();
   Item.ScoringCall = Options.UnaryClient.start(
       {.UpstreamRequest = {.RequestId = Scoring.RequestId,
@@ -727,14 +739,11 @@
                              {"request", Item.Item->Scoring->RequestId},
                              {"status", std::to_string(Result.Head.Status)},
                              {"reason", Result.Verdict.Reason}});
-  const route *Route =
-      Options.FindRoute(Item.Item->Scoring->Host, Item.Item->Scoring->Path);
-  const unsigned MaxFailures = Route ? Route->MaxAttempts : 1;
   // Other statuses, such as 504 at the deadline that the call was given, say
   // nothing about the item.
   const bool Failed =
       Result.FromReplica && Result.Head.Status == StatusServerError;
-  if (Failed && ++Item.ScoringFailures >= MaxFailures) {
+  if (Failed && ++Item.ScoringFailures >= Item.MaxScoringAttempts) {
     giveUp(Item, "scoring");
     return;
   }
--- a/jobs/job_scheduler.h
+++ b/jobs/job_scheduler.h
@@ -117,6 +117,8 @@
   /// Number of items that run on the replica.
   [[nodiscard]] unsigned runningItemCount(std::string_view Replica) const;
   [[nodiscard]] size_t openJobCount() const;
+  /// Whether an open job needs each sample from one version of the weights.
+  [[nodiscard]] bool needsSingleVersions() const;
   /// Exports generated texts and results that are not listed yet, for a
   /// successor, and imported progress whose jobs have not been added yet.
   /// MinAge: exports only the texts of items that were started at
--- a/jobs/pool_leadership.cpp
+++ b/jobs/pool_leadership.cpp
@@ -434,7 +434,11 @@
           [this](std::string_view Replica) {
             return Scheduler ? Scheduler->runningItemCount(Replica) : 0;
           },
-      .DrainRunsFirst = Options.SingleVersion,
+      .DrainRunsFirst =
+          [this] {
+            return Options.SingleVersion() ||
+                   (Scheduler && Scheduler->needsSingleVersions());
+          },
       .OnFenced = [this] { readLease(); },
       .OnVersionChanged = [this] { onReplicasChanged(); }});
   if (PredecessorAddress.empty())
