Bound the responses of all replicas by one budget

What callers could see: a replica that sends events or bodies without end to many streams at once made the gateway buffer up to 1 MiB for each, and with about 100 of them exceed the memory of a small machine; all requests on it would end with the process.

Cause: each response had a limit of its own; only plain requests had one together, and those of up to 1 MiB were exempt from it.

Change: policy/buffer_budget is shared by plain requests, streams and items, and counts memory rather than received bytes. What a failed stream holds is freed at once.

--- a/gateway/endless_response_test.cpp
+++ b/gateway/endless_response_test.cpp
@@ -13,6 +13,7 @@
   CPPUNIT_TEST(hedgeReplacesEndlessResponse);
   CPPUNIT_TEST(streamEndsAtEndlessEvent);
   CPPUNIT_TEST(streamEndsAtEndlessErrorBody);
+  CPPUNIT_TEST(streamsEndWithinOneMemoryLimit);
   CPPUNIT_TEST_SUITE_END();
 
   static constexpr const char *Ok = "HTTP/1.1 200 OK\r\n\r\n";
@@ -54,7 +55,8 @@
       CPPUNIT_ASSERT(!Result.FromReplica);
       CPPUNIT_ASSERT(Result.Verdict.Certainty == run_certainty::MayHaveRun);
     }
-    CPPUNIT_ASSERT(Env.UnaryClient.peakBufferedBytes() <= size_t(48) << 20);
+    CPPUNIT_ASSERT(Env.Buffers->peakBytes() <= size_t(48) << 20);
+    CPPUNIT_ASSERT_EQUAL(size_t(0), Env.Buffers->totalBytes());
     Env.runFor(milliseconds(300));
     CPPUNIT_ASSERT_EQUAL(0U, Replica.OpenConnections.load());
   }
@@ -107,6 +109,32 @@
     CPPUNIT_ASSERT(Result->Verdict.Certainty == run_certainty::MayHaveRun);
     CPPUNIT_ASSERT(Replica.SentBytes < size_t(32) << 20);
   }
+
+  // Guards against memory that grows with the number of streams whose events
+  // never end.
+  void streamsEndWithinOneMemoryLimit() {
+    endless_server Replica(Ok, "x");
+    test_environment Env;
+    Env.addReplica("a", Replica.address());
+    static constexpr size_t Streams = 100;
+    std::vector<stream_call_ptr> Running;
+    size_t Ended = 0;
+    for (size_t I = 0; I < Streams; ++I)
+      Running.push_back(
+          Env.StreamClient.start(test_environment::streamRequest(),
+                                 {.OnHead = [](const upstream_head &) {},
+                                  .OnEvent = [](std::string_view) {},
+                                  .OnEnd =
+                                      [&](const stream_result & /*End*/) {
+                                        if (++Ended == Streams)
+                                          Env.Loop.stop();
+                                      }}));
+    Env.runFor(milliseconds(5000));
+    CPPUNIT_ASSERT_EQUAL(Streams, Ended);
+    CPPUNIT_ASSERT(Env.Buffers->peakBytes() <= size_t(32) << 20);
+    Running.clear();
+    CPPUNIT_ASSERT_EQUAL(size_t(0), Env.Buffers->totalBytes());
+  }
 };
 
 CPPUNIT_TEST_SUITE_NAMED_REGISTRATION(endless_response_test,
--- a/gateway/event_parser.cpp
+++ b/gateway/event_parser.cpp
@@ -9,9 +9,7 @@
     const size_t End = Bytes.find('\n');
     Line += Bytes.substr(0, End);
     if (Line.size() + Event.Raw.size() > MaxEventBytes) {
-      Failed = true;
-      Line.clear();
-      Event = {};
+      abandon();
       return;
     }
     if (End == std::string_view::npos)
@@ -26,6 +24,14 @@
   }
 }
 
+void event_parser::abandon() {
+  Failed = true;
+  // Assigning an empty value would keep the memory.
+  std::string().swap(Line);
+  const stream_event Discarded = std::move(Event);
+  Event = {};
+}
+
 void event_parser::parseLine() {
   if (Line.empty()) {
     dispatch();
--- a/gateway/event_parser.h
+++ b/gateway/event_parser.h
@@ -13,6 +13,7 @@
 #ifndef CARDAMOM_GATEWAY_EVENT_PARSER_H
 #define CARDAMOM_GATEWAY_EVENT_PARSER_H
 
+#include <cstddef>
 #include <cstdint>
 #include <functional>
 #include <optional>
@@ -42,8 +43,15 @@
   static constexpr size_t MaxEventBytes = size_t(1) << 20;
 
   void feed(std::string_view Bytes);
-  /// Whether the stream contains an event that is too large.
+  /// Gives up the stream and frees what is held of it.
+  void abandon();
+  /// Whether the stream contains an event that is too large, or has been
+  /// abandoned.
   [[nodiscard]] bool failed() const { return Failed; }
+  /// Memory in bytes held for the event that is not complete yet.
+  [[nodiscard]] size_t bufferedBytes() const {
+    return Line.capacity() + Event.Raw.capacity() + Event.Data.capacity();
+  }
   /// Whether the input so far ends between two events.
   [[nodiscard]] bool atBoundary() const { return Line.empty() && !HasFields; }
 
--- a/gateway/stream_client.cpp
+++ b/gateway/stream_client.cpp
@@ -8,6 +8,7 @@
 #include "gateway/replica_directory.h"
 #include "http/event_loop.h"
 #include "http/http_client.h"
+#include "policy/buffer_charge.h"
 #include "policy/router.h"
 #include "policy/stream_plan.h"
 
@@ -27,7 +28,8 @@
               .FirstEventDeadline = this->Request.FirstEventDeadline,
               .MaxEventGap = this->Request.MaxEventGap,
               .ResumeAfterEvent =
-                  this->Request.UpstreamRequest.ResumeAfterEvent}) {}
+                  this->Request.UpstreamRequest.ResumeAfterEvent}),
+        Charge(Options.Buffers) {}
   ~stream_call() {
     if (Call)
       Options.Router.onAbandon(ReplicaId, {}, event_loop::now());
@@ -56,6 +58,7 @@
   std::optional<event_parser> Parser;
   upstream_head Head;
   std::string ErrorBody;
+  buffer_charge Charge;
   /// Of the response that has been forwarded last.
   std::string ContentType;
   bool HeadForwarded = false;
@@ -105,6 +108,7 @@
   Streaming = false;
   AttemptEnded = false;
   ErrorBody.clear();
+  Charge.set(0);
   Call = Options.Client.send(
       Replica->Address, Options.Protocol.Encode(Outgoing),
       {.MayWrite = Options.Gate.writeCheck(*Replica),
@@ -155,12 +159,21 @@
     return;
   if (!Streaming) {
     ErrorBody += Data;
-    if (ErrorBody.size() > Options.MaxErrorBytes)
-      endAttempt(stream_attempt_end::Broken, "error body too large");
+    if (Charge.set(ErrorBody.capacity()) &&
+        ErrorBody.size() <= Options.MaxErrorBytes)
+      return;
+    std::string().swap(ErrorBody);
+    Charge.set(0);
+    endAttempt(stream_attempt_end::Broken, "error body too large");
     return;
   }
   Parser->feed(Data);
-  if (Parser->failed() && !AttemptEnded)
+  if (!Charge.set(Parser->bufferedBytes()))
+    Parser->abandon();
+  if (!Parser->failed())
+    return;
+  Charge.set(0);
+  if (!AttemptEnded)
     endAttempt(stream_attempt_end::Broken, "event too large");
 }
 
--- a/gateway/stream_client.h
+++ b/gateway/stream_client.h
@@ -16,6 +16,7 @@
 
 #include "base/verdict.h"
 #include "gateway/upstream_request.h"
+#include "policy/buffer_budget.h"
 
 #include <functional>
 #include <memory>
@@ -77,6 +78,10 @@
   std::string FailureDomain;
   /// A larger body of an error response fails the attempt.
   size_t MaxErrorBytes = size_t(1) << 20;
+  /// Bounds what is held of responses: events that are not complete yet, and
+  /// bodies of errors. Shared with other clients.
+  std::shared_ptr<buffer_budget> Buffers =
+      std::make_shared<buffer_budget>(buffer_budget_options{});
   /// Retry-After when no replica accepts the request.
   milliseconds RetryAfter{100};
 };
--- a/gateway/test_environment.h
+++ b/gateway/test_environment.h
@@ -53,18 +53,22 @@
                                  .RequestId = "r",
                                  .Signature = "s"};
           }};
+  std::shared_ptr<buffer_budget> Buffers =
+      std::make_shared<buffer_budget>(buffer_budget_options{});
   unary_client UnaryClient{{.Loop = Loop,
                             .Client = Client,
                             .Directory = Directory,
                             .Gate = Gate,
                             .Router = Router,
-                            .Protocol = Protocol}};
+                            .Protocol = Protocol,
+                            .Buffers = Buffers}};
   stream_client StreamClient{{.Loop = Loop,
                               .Client = Client,
                               .Directory = Directory,
                               .Gate = Gate,
                               .Router = Router,
-                              .Protocol = Protocol}};
+                              .Protocol = Protocol,
+                              .Buffers = Buffers}};
 
   static std::string unusedAddress() {
     const int Socket = ::socket(AF_INET, SOCK_STREAM, 0);
--- a/gateway/unary_client.cpp
+++ b/gateway/unary_client.cpp
@@ -7,6 +7,7 @@
 #include "gateway/replica_directory.h"
 #include "http/event_loop.h"
 #include "http/http_client.h"
+#include "policy/buffer_charge.h"
 #include "policy/router.h"
 
 #include <algorithm>
@@ -33,23 +34,25 @@
               .ReceivedAt = this->Request.ReceivedAt,
               .Deadline = this->Request.Deadline}) {}
   ~unary_call() {
-    for (attempt &Attempt : Attempts) {
-      dropBody(Attempt);
+    for (const attempt &Attempt : Attempts)
       if (!Attempt.Ended)
         Options.Router.onAbandon(Attempt.ReplicaId, {}, event_loop::now());
-    }
   }
 
   void advance();
 
 private:
   struct attempt {
+    explicit attempt(std::shared_ptr<buffer_budget> Buffers)
+        : Charge(std::move(Buffers)) {}
+
     std::string ReplicaId;
     uint64_t ReplicaStartedAtMs = 0;
     time_point SentAt;
     call_handle Call;
     std::optional<upstream_head> Head;
     std::string Body;
+    buffer_charge Charge;
     bool Ended = false;
   };
 
@@ -57,10 +60,9 @@
   void send(time_point Now);
   void onHead(attempt &Attempt, const http_response &Head);
   void onBody(attempt &Attempt, std::string_view Data);
-  [[nodiscard]] bool tooLarge(const attempt &Attempt) const;
-  /// Removes the body from the attempt and from the total of all calls.
-  std::string takeBody(attempt &Attempt);
-  void dropBody(attempt &Attempt) { (void)takeBody(Attempt); }
+  /// Removes the body from the attempt and from the total of all responses.
+  static std::string takeBody(attempt &Attempt);
+  static void dropBody(attempt &Attempt) { (void)takeBody(Attempt); }
   void onEnd(attempt &Attempt, const call_completion &End);
   void withhold(attempt &Attempt);
   void endAttempt(attempt &Attempt, std::string_view Reason);
@@ -145,7 +147,7 @@
   upstream_request Outgoing = Request.UpstreamRequest;
   Outgoing.ReplicaId = Replica->Id;
   Outgoing.Timeout = std::chrono::floor<milliseconds>(Request.Deadline - Now);
-  attempt &Attempt = Attempts.emplace_back();
+  attempt &Attempt = Attempts.emplace_back(Options.Buffers);
   Attempt.ReplicaId = Replica->Id;
   Attempt.ReplicaStartedAtMs = Replica->StartedAtMs;
   Attempt.SentAt = Now;
@@ -178,22 +180,12 @@
   if (Attempt.Ended)
     return;
   Attempt.Body += Data;
-  Client.BufferedBytes += Data.size();
-  Client.PeakBufferedBytes =
-      std::max(Client.PeakBufferedBytes, Client.BufferedBytes);
-  if (tooLarge(Attempt))
+  if (!Attempt.Charge.set(Attempt.Body.capacity()))
     fail(Attempt, attempt_failure::MayHaveRun, "answer_too_large");
 }
 
-bool unary_call::tooLarge(const attempt &Attempt) const {
-  const size_t Size = Attempt.Body.size();
-  return Size > Options.MaxResponseBytes ||
-         (Size > Options.SmallResponseBytes &&
-          Client.BufferedBytes > Options.MaxBufferedBytes);
-}
-
 std::string unary_call::takeBody(attempt &Attempt) {
-  Client.BufferedBytes -= Attempt.Body.size();
+  Attempt.Charge.set(0);
   return std::exchange(Attempt.Body, {});
 }
 
--- a/gateway/unary_client.h
+++ b/gateway/unary_client.h
@@ -17,6 +17,7 @@
 
 #include "base/verdict.h"
 #include "gateway/upstream_request.h"
+#include "policy/buffer_budget.h"
 #include "policy/call_plan.h"
 
 #include <functional>
@@ -65,12 +66,10 @@
   router &Router;
   upstream_protocol Protocol;
   std::string FailureDomain;
-  /// A larger response fails the attempt.
-  size_t MaxResponseBytes = size_t(16) << 20;
-  /// While the responses of all calls together take more, those larger than
-  /// SmallResponseBytes fail as well.
-  size_t MaxBufferedBytes = size_t(24) << 20;
-  size_t SmallResponseBytes = size_t(1) << 20;
+  /// Bounds the responses that are being received; a response that it does not
+  /// admit fails the attempt. Shared with other clients.
+  std::shared_ptr<buffer_budget> Buffers =
+      std::make_shared<buffer_budget>(buffer_budget_options{});
   /// Uniform random number in [0, 1); adds jitter to Retry-After.
   std::function<double()> Random;
 };
@@ -85,14 +84,9 @@
   [[nodiscard]] unary_call_ptr start(unary_request Request,
                                      std::function<void(unary_result)> Done);
 
-  /// Largest total of the responses buffered at a time.
-  [[nodiscard]] size_t peakBufferedBytes() const { return PeakBufferedBytes; }
-
 private:
   friend class unary_call;
   unary_client_options Options;
-  size_t BufferedBytes = 0;
-  size_t PeakBufferedBytes = 0;
 };
 
 } // namespace cardamom
--- a/jobs/item_run.cpp
+++ b/jobs/item_run.cpp
@@ -36,7 +36,7 @@
       ReplicaId(Replica.Id), Text(Text), OnEnd(std::move(OnEnd)),
       Parser(std::string(this->Options.EventVersionField),
              [this](const stream_event &Event) { onEvent(Event); }),
-      StartedAt(Now), ProgressAt(Now) {
+      Charge(this->Options.Buffers), StartedAt(Now), ProgressAt(Now) {
   this->Call = this->Options.Client.send(
       Replica.Address, this->Options.Protocol.Encode(Request),
       {.MayWrite = this->Options.MayWrite,
@@ -46,8 +46,12 @@
              if (!Streaming || Ended)
                return;
              Parser.feed(Data);
-             if (Parser.failed())
-               end(item_run_outcome::Broken, "event too large");
+             if (!Charge.set(Parser.bufferedBytes()))
+               Parser.abandon();
+             if (!Parser.failed())
+               return;
+             Charge.set(0);
+             end(item_run_outcome::Broken, "event too large");
            },
        .OnEnd = [this](const call_completion &End) { onEnd(End); }});
 }
--- a/jobs/item_run.h
+++ b/jobs/item_run.h
@@ -16,6 +16,7 @@
 #include "gateway/event_parser.h"
 #include "gateway/upstream_request.h"
 #include "http/http_client.h"
+#include "policy/buffer_charge.h"
 
 #include <cstdint>
 #include <functional>
@@ -79,6 +80,10 @@
   /// A longer text is discarded, because its result would not fit into an
   /// object of the store.
   size_t MaxTextBytes = 900000;
+  /// Bounds what is held of events that are not complete yet. Shared with other
+  /// clients.
+  std::shared_ptr<buffer_budget> Buffers =
+      std::make_shared<buffer_budget>(buffer_budget_options{});
   /// Called with the version in the response headers and with that of each
   /// event that has one.
   std::function<void(uint64_t)> OnVersion;
@@ -116,6 +121,7 @@
   item_text &Text;
   std::function<void(item_run_end)> OnEnd;
   event_parser Parser;
+  buffer_charge Charge;
   time_point StartedAt;
   time_point ProgressAt;
   std::optional<time_point> FirstEventAt;
--- a/jobs/job_scheduler.cpp
+++ b/jobs/job_scheduler.cpp
@@ -564,6 +564,7 @@
       .EventVersionField = Options.Protocols.EventVersionField,
       .MinVersion = Job.MinVersion,
       .SingleVersion = Item.Job->SingleVersion,
+      .Buffers = Options.Buffers,
       .OnVersion =
           [this, ReplicaId, Model = Job.Model](uint64_t Version) {
             Options.Directory.setVersion(ReplicaId, Model, Version);
--- a/jobs/job_scheduler.h
+++ b/jobs/job_scheduler.h
@@ -17,6 +17,7 @@
 #define CARDAMOM_JOBS_JOB_SCHEDULER_H
 
 #include "gateway/protocols.h"
+#include "policy/buffer_budget.h"
 #include "policy/item_placement.h"
 
 #include <deque>
@@ -57,6 +58,9 @@
   /// Name of the service whose replicas form the pool.
   std::string Pool;
   std::string FailureDomain;
+  /// Bounds what is held of replicas' responses; shared with other clients.
+  std::shared_ptr<buffer_budget> Buffers =
+      std::make_shared<buffer_budget>(buffer_budget_options{});
   /// Kind of the objects that hold results.
   std::string ResultKind;
   /// Returns the current time in Unix milliseconds.
--- a/server/gateway.cpp
+++ b/server/gateway.cpp
@@ -13,6 +13,7 @@
 #include "jobs/inner_paths.h"
 #include "jobs/job_request_handler.h"
 #include "jobs/pool_leadership.h"
+#include "policy/buffer_budget.h"
 #include "policy/router.h"
 #include "policy/shutdown_plan.h"
 #include "server/request_handler.h"
@@ -116,6 +117,9 @@
   async_store_client Store;
   replica_directory Directory;
   dispatch_gate Gate;
+  /// Of all responses of replicas.
+  std::shared_ptr<buffer_budget> Buffers =
+      std::make_shared<buffer_budget>(buffer_budget_options{});
   router Router;
   unary_client UnaryClient;
   stream_client StreamClient;
@@ -177,6 +181,7 @@
                    .Router = Router,
                    .Protocol = Options.Protocols.Upstream,
                    .FailureDomain = Options.FailureDomain,
+                   .Buffers = Buffers,
                    .Random = [this] { return random(); }}),
       StreamClient({.Loop = Loop,
                     .Client = Client,
@@ -184,7 +189,8 @@
                     .Gate = Gate,
                     .Router = Router,
                     .Protocol = Options.Protocols.Upstream,
-                    .FailureDomain = Options.FailureDomain}),
+                    .FailureDomain = Options.FailureDomain,
+                    .Buffers = Buffers}),
       JobHandler(
           {.Loop = Loop,
            .Client = Client,
@@ -423,6 +429,7 @@
                     },
                     .Pool = Name,
                     .FailureDomain = Options.FailureDomain,
+                    .Buffers = Buffers,
                     .ResultKind = std::string(ResultKind),
                     .UnixNow = unixNowMs,
                     .NewId = [this] { return newId(); }},
@@ -512,6 +519,7 @@
         .gauge("upstream_connections_opened")
         .set(Client.connectionsOpened());
     metrics::get().gauge("replicas").set(Directory.size());
+    metrics::get().gauge("response_buffer_bytes").set(Buffers->totalBytes());
     scheduleMaintenance();
   });
 }
