Let a list in progress finish when its renewal is requested

What callers saw: after the store had dropped its history once, no item of any batch job started any more, and no other gateway took over.

Cause: the scheduler asks for a renewal of the list of jobs each 200 ms while the list is older than 2 s. renew() discarded a list in progress, watched from the old revision, got 410 and listed anew, so a list that takes longer than 200 ms was never completed.

Change: renew() has no effect while a list is in progress or about to be retried. This holds for all watched kinds.

--- a/store/object_watcher.cpp
+++ b/store/object_watcher.cpp
@@ -23,6 +23,7 @@
   Alive.reset();
   DelayTimer.reset();
   Ready = false;
+  Listing = false;
 }
 
 object_callback object_watcher::bindHandler(
@@ -46,7 +47,8 @@
 }
 
 void object_watcher::renew() {
-  if (!Ready || Renewing)
+  // A list in progress, or one that is about to be retried, renews everything.
+  if (!Ready || Renewing || Listing)
     return;
   Renewing = true;
   ++Generation;
@@ -99,6 +101,7 @@
 }
 
 void object_watcher::list() {
+  Listing = true;
   Listed.clear();
   ListRevision = 0;
   listPage({});
@@ -127,6 +130,7 @@
   }
   Revision = ListRevision;
   Ready = true;
+  Listing = false;
   onConfirmed(Now);
   const std::vector<stored_object> All = std::move(Listed);
   Listed.clear();
--- a/store/object_watcher.h
+++ b/store/object_watcher.h
@@ -63,7 +63,7 @@
 
   void start();
   /// Requests the changes so far, without waiting for the response to the
-  /// current watch.
+  /// current watch. Has no effect during a list, which it would only delay.
   void renew();
   /// Stops watching; a response that is still outstanding is ignored.
   void stop();
@@ -108,6 +108,8 @@
   /// Responses to requests of earlier generations are ignored.
   uint64_t Generation = 0;
   bool Renewing = false;
+  /// From the first page of a list, or its retry, to the last.
+  bool Listing = false;
   std::shared_ptr<timer_state> DelayTimer;
 };
 
--- a/store/object_watcher_test.cpp
+++ b/store/object_watcher_test.cpp
@@ -13,6 +13,7 @@
   CPPUNIT_TEST_SUITE(object_watcher_test);
   CPPUNIT_TEST(changeIsDeliveredWithinMaxAgeAfterLostResponse);
   CPPUNIT_TEST(idleWatchCostsOneCallPerMaxAge);
+  CPPUNIT_TEST(renewalsLetAListInProgressFinish);
   CPPUNIT_TEST_SUITE_END();
 
   static constexpr milliseconds CallTimeout{60};
@@ -29,16 +30,28 @@
   size_t Watches = 0;
   uint64_t StoreRevision = 5;
   std::vector<stored_object> Changes;
+  /// Number of pages of a list, and the time until each is answered.
+  size_t Pages = 1;
+  milliseconds PageDelay{0};
+  size_t Snapshots = 0;
+  size_t Lists = 0;
+  bool HistoryGone = false;
   time_point ChangeSeenAt{};
   std::unique_ptr<async_store_client> Store;
   std::unique_ptr<object_watcher> Watcher;
 
   void handle(const object_request &Request, const object_callback &Done) {
     if (Request.Op != object_op::Watch) {
-      answer(Done);
+      answerList(Request, Done);
       return;
     }
     ++Watches;
+    if (HistoryGone) {
+      Loop.post([Done] {
+        Done({.Outcome = object_outcome::HistoryGone, .Objects = {}});
+      });
+      return;
+    }
     if (Request.SinceRevision < StoreRevision) {
       answer(Done, Changes);
       return;
@@ -48,6 +61,21 @@
          .Expiry = Loop.after(Request.Wait, [this, Done] { answer(Done); })});
   }
 
+  /// Each page holds one object, whose name is the number of the page.
+  void answerList(const object_request &Request, const object_callback &Done) {
+    const size_t Page = Request.After.empty() ? 1 : stoul(Request.After) + 1;
+    Lists += Page == 1;
+    stored_object Object;
+    Object.Name = std::to_string(Page);
+    Timers.push_back(Loop.after(PageDelay, [this, Done, Object, Page] {
+      HistoryGone = HistoryGone && Page < Pages;
+      Done({.Outcome = object_outcome::Done,
+            .Objects = {Object},
+            .HasMore = Page < Pages,
+            .StoreRevision = StoreRevision});
+    }));
+  }
+
   void answer(const object_callback &Done,
               std::vector<stored_object> Objects = {}) {
     Loop.post([this, Done, Objects = std::move(Objects)] {
@@ -88,7 +116,8 @@
         Loop, *Store,
         object_watcher_options{
             .Kind = "k",
-            .OnSnapshot = [](std::span<const stored_object>) {},
+            .OnSnapshot =
+                [this](std::span<const stored_object>) { ++Snapshots; },
             .OnChange =
                 [this](const stored_object &) {
                   ChangeSeenAt = event_loop::now();
@@ -115,6 +144,31 @@
     CPPUNIT_ASSERT(ChangeSeenAt - ChangedAt <= MaxAge);
   }
 
+  /// Renews the watch each Interval from now on.
+  void renewEach(milliseconds Interval) {
+    Timers.push_back(Loop.after(Interval, [this, Interval] {
+      Watcher->renew();
+      renewEach(Interval);
+    }));
+  }
+
+  // Guards against renewals that discard a list of several pages each time, so
+  // that after the loss of the store's history nothing is learnt any more
+  // (review/1).
+  void renewalsLetAListInProgressFinish() {
+    Timers.push_back(Loop.after(milliseconds(50), [this] {
+      HistoryGone = true;
+      Pages = 6;
+      PageDelay = milliseconds(10);
+      renewEach(milliseconds(20));
+    }));
+    Timers.push_back(Loop.after(milliseconds(600), [this] { Loop.stop(); }));
+    Loop.run();
+    CPPUNIT_ASSERT_EQUAL(size_t(2), Snapshots);
+    CPPUNIT_ASSERT_EQUAL(size_t(2), Lists);
+    CPPUNIT_ASSERT(event_loop::now() - Watcher->confirmedAt() < MaxAge);
+  }
+
   // Guards against polling of a store without changes.
   void idleWatchCostsOneCallPerMaxAge() {
     Timers.push_back(Loop.after(4 * MaxAge, [this] { Loop.stop(); }));
