Ask another gateway about a submission without a route

A gateway that cannot reach the store answered a repeated submission whose route is gone with 504, although another gateway could have confirmed the job.

Cause: confirmSubmission did not forward the call as the other calls on jobs do.

Change: it does; 504 remains the answer if no gateway can ask the store, since the job may have been accepted.

--- a/jobs/job_request_handler.cpp
+++ b/jobs/job_request_handler.cpp
@@ -279,37 +279,43 @@
 
 void job_request_handler::confirmSubmission(const exchange_ptr &Exchange,
                                             const std::string &RequestId,
+                                            bool Forwarded,
                                             std::function<void()> OnUnknown) {
   if (!isSubmission(Options.Protocols, Exchange->request().Body)) {
     OnUnknown();
     return;
   }
+  auto Pending = std::make_shared<pending_call>();
+  Pending->Exchange = Exchange;
+  Pending->JobId = RequestId;
+  Pending->Pools = Options.KnownPools();
+  Pending->Forwarded = Forwarded;
+  // Unless the store says otherwise.
+  Pending->MayBeStored = true;
+  if (!Options.Store.reachable()) {
+    forward(Pending, "store_lost");
+    return;
+  }
   Options.Store.call(
       {.Op = object_op::Get, .Kind = Options.JobKind, .Name = RequestId},
-      [this, Weak = std::weak_ptr<bool>(Alive), Exchange, RequestId,
+      [this, Weak = std::weak_ptr<bool>(Alive), Pending,
        OnUnknown = std::move(OnUnknown)](const object_reply &Reply) {
         if (Weak.expired())
           return;
-        const bool Known =
-            Reply.Outcome == object_outcome::Done &&
-            isFromHost(Reply, Exchange->request().Headers.get("Host"));
+        const http_request &Submission = Pending->Exchange->request();
+        const bool Known = Reply.Outcome == object_outcome::Done &&
+                           isFromHost(Reply, Submission.Headers.get("Host"));
         logInfo("job_confirmed",
-                {{"job", RequestId},
+                {{"job", Pending->JobId},
                  {"outcome", std::string(toString(Reply.Outcome))},
                  {"accepted", Known ? "yes" : "no"}});
-        if (Known) {
-          answer(Exchange, StatusAccepted, "{}", JsonContentType);
-          return;
-        }
-        if (Reply.Outcome == object_outcome::Done ||
-            Reply.Outcome == object_outcome::NotFound) {
+        if (Known)
+          answer(Pending->Exchange, StatusAccepted, "{}", JsonContentType);
+        else if (Reply.Outcome == object_outcome::Done ||
+                 Reply.Outcome == object_outcome::NotFound)
           OnUnknown();
-          return;
-        }
-        // It is unknown whether the job has been accepted, so neither 404 nor
-        // 503 would be correct.
-        answer(Exchange, StatusTimeout, errorBody("store_lost"),
-               JsonContentType);
+        else
+          forward(Pending, "store_lost");
       });
 }
 
--- a/jobs/job_request_handler.h
+++ b/jobs/job_request_handler.h
@@ -70,7 +70,7 @@
   /// this job from the same host, that is, if it was accepted while the route
   /// existed. Calls OnUnknown if it has not, or if the body is no job.
   void confirmSubmission(const exchange_ptr &Exchange,
-                         const std::string &RequestId,
+                         const std::string &RequestId, bool Forwarded,
                          std::function<void()> OnUnknown);
   /// Pools: services of the rollout routes on the call's host. If there is no
   /// such route any more, the job may belong to any pool.
--- a/server/request_handler.cpp
+++ b/server/request_handler.cpp
@@ -159,7 +159,7 @@
     const route *Route =
         findRoute(Request.UpstreamRequest.Host, Message.Target);
     if (!Route) {
-      handleUnrouted(Exchange, Id);
+      handleUnrouted(Exchange, Id, Forwarded);
       return;
     }
     if (rejectIfStopping(Exchange, Id, timeLimit(*Route, Request)))
@@ -180,12 +180,14 @@
 /// Rejects a request without a route, unless it repeats the submission of a job
 /// that was accepted while the route existed.
 void request_handler::handleUnrouted(const exchange_ptr &Exchange,
-                                     const std::string &RequestId) {
+                                     const std::string &RequestId,
+                                     bool Forwarded) {
   const auto Reject = [this, Exchange, RequestId] {
     reject(Exchange, RequestId, StatusNotFound, "no_route");
   };
   if (Exchange->request().Method == "POST" && !RequestId.empty())
-    Options.JobHandler.confirmSubmission(Exchange, RequestId, Reject);
+    Options.JobHandler.confirmSubmission(Exchange, RequestId, Forwarded,
+                                         Reject);
   else
     Reject();
 }
--- a/server/request_handler.h
+++ b/server/request_handler.h
@@ -83,7 +83,7 @@
   bool handleJobCall(const exchange_ptr &Exchange, std::string_view RequestId,
                      bool Forwarded);
   void handleUnrouted(const exchange_ptr &Exchange,
-                      const std::string &RequestId);
+                      const std::string &RequestId, bool Forwarded);
   void forwardUnary(const exchange_ptr &Exchange, const route &Route,
                     inbound_request Request);
   void forwardStream(const exchange_ptr &Exchange, const route &Route,
