Send no request id twice on one connection

What callers saw: a stream that must not be repeated was answered 503 although a replica had begun to run it.

Cause: after all replicas have refused a stream, it is sent again with the same id, usually on the connection that carried the refusal. A late copy of the refusal bears the right id and is taken for the answer. Items and scoring calls repeat ids in the same way, so a copy of a 500 could count as a further failed attempt.

Change: a connection remembers the ids of the last requests sent on it; a request with one of them goes out on another connection. Matching by id is sound again, since each id stands for one attempt there.

--- a/gateway/stream_client.cpp
+++ b/gateway/stream_client.cpp
@@ -111,7 +111,8 @@
   Charge.set(0);
   Call = Options.Client.send(
       Replica->Address, Options.Protocol.Encode(Outgoing),
-      {.MayWrite = Options.Gate.writeCheck(*Replica),
+      {.RequestId = Outgoing.RequestId,
+       .MayWrite = Options.Gate.writeCheck(*Replica),
        .OnHead = [this](const http_response &Response) { onHead(Response); },
        .OnBody = [this](std::string_view Data) { onBody(Data); },
        .OnEnd = [this](const call_completion &End) { onEnd(End); }});
--- a/gateway/unary_client.cpp
+++ b/gateway/unary_client.cpp
@@ -153,7 +153,8 @@
   Attempt.SentAt = Now;
   Attempt.Call = Options.Client.send(
       Replica->Address, Options.Protocol.Encode(Outgoing),
-      {.MayWrite = Options.Gate.writeCheck(*Replica),
+      {.RequestId = Outgoing.RequestId,
+       .MayWrite = Options.Gate.writeCheck(*Replica),
        .OnHead = [this, &Attempt](
                      const http_response &Head) { onHead(Attempt, Head); },
        .OnBody = [this,
--- a/http/http_client.cpp
+++ b/http/http_client.cpp
@@ -14,6 +14,9 @@
 #include <boost/beast/core/flat_buffer.hpp>
 #include <boost/beast/http/basic_dynamic_body.hpp>
 #include <boost/beast/http/parser.hpp>
+#include <deque>
+#include <functional>
+#include <iterator>
 #include <map>
 #include <optional>
 #include <vector>
@@ -26,6 +29,9 @@
 using error_code = boost::system::error_code;
 
 static constexpr size_t ReadChunkBytes = 16384;
+/// A copy of a response arrives where the next one is expected, so that the id
+/// of the last request would do for a peer that sends each copy once.
+static constexpr size_t MaxSentIds = 64;
 /// A write that starts this long after the call is logged.
 static constexpr milliseconds LateWrite{300};
 
@@ -54,7 +60,9 @@
   state(event_loop &Loop, http_client_options Options)
       : Loop(Loop), Options(Options) {}
 
-  connection_ptr takeIdle(const std::string &Address);
+  /// Returns null if there is no idle connection for a request with this id.
+  connection_ptr takeIdle(const std::string &Address,
+                          std::string_view RequestId);
   void addIdle(const connection_ptr &Connection);
   void removeIdle(const connection *Connection);
 
@@ -84,12 +92,15 @@
     close();
   }
   void startIdleTimer();
+  [[nodiscard]] bool hasSent(std::string_view RequestId) const;
 
   std::shared_ptr<http_client::state> Client;
   const std::string Address;
   bool HasServedCall = false;
 
 private:
+  void rememberSent(std::string_view RequestId);
+
   // A string_body would reserve memory for the whole Content-Length, which the
   // peer chooses.
   using parser = beast::http::response_parser<
@@ -113,6 +124,8 @@
   std::string Outgoing;
   time_point CallStartedAt{};
   std::weak_ptr<client_call_state> Call;
+  /// Hashes of the ids of the last requests on this connection, oldest first.
+  std::deque<size_t> SentIds;
   timer_handle Timer;
   bool Connected = false;
   bool CallInProgress = false;
@@ -192,6 +205,7 @@
   Outgoing = std::move(NewCall->Request);
   FramingBytes = 0;
   startResponse();
+  rememberSent(NewCall->Hooks.RequestId);
   Timer.reset();
   if (Connected)
     writeRequest();
@@ -200,6 +214,23 @@
   HasServedCall = true;
 }
 
+static size_t hashId(std::string_view RequestId) {
+  return std::hash<std::string_view>()(RequestId);
+}
+
+bool connection::hasSent(std::string_view RequestId) const {
+  return !RequestId.empty() && std::find(SentIds.begin(), SentIds.end(),
+                                         hashId(RequestId)) != SentIds.end();
+}
+
+void connection::rememberSent(std::string_view RequestId) {
+  if (RequestId.empty())
+    return;
+  SentIds.push_back(hashId(RequestId));
+  if (SentIds.size() > MaxSentIds)
+    SentIds.pop_front();
+}
+
 void connection::startResponse() {
   Parser.emplace();
   Parser->eager(true);
@@ -391,12 +422,20 @@
                              });
 }
 
-connection_ptr http_client::state::takeIdle(const std::string &Address) {
+connection_ptr http_client::state::takeIdle(const std::string &Address,
+                                            std::string_view RequestId) {
   const auto It = IdleConnections.find(Address);
   if (It == IdleConnections.end())
     return nullptr;
-  connection_ptr Connection = std::move(It->second.back());
-  It->second.pop_back();
+  // The most recently used one is the least likely to be closed by the peer.
+  const auto Found = std::find_if(It->second.rbegin(), It->second.rend(),
+                                  [&](const connection_ptr &Candidate) {
+                                    return !Candidate->hasSent(RequestId);
+                                  });
+  if (Found == It->second.rend())
+    return nullptr;
+  connection_ptr Connection = *Found;
+  It->second.erase(std::next(Found).base());
   if (It->second.empty())
     IdleConnections.erase(It);
   return Connection;
@@ -450,7 +489,7 @@
   auto Call = std::make_shared<client_call_state>();
   Call->Hooks = std::move(Hooks);
   Call->Request = serializeRequest(Request);
-  connection_ptr Connection = State->takeIdle(Address);
+  connection_ptr Connection = State->takeIdle(Address, Call->Hooks.RequestId);
   if (!Connection)
     Connection = std::make_shared<connection>(State, Address);
   Connection->startCall(Call);
--- a/http/http_client.h
+++ b/http/http_client.h
@@ -54,6 +54,10 @@
 };
 
 struct call_hooks {
+  /// Id by which the peer's response is recognized; empty = none. The request
+  /// is not sent on a connection on which one with this id has been sent
+  /// before: a late copy of that response would pass for the new one.
+  std::string RequestId;
   /// Asked before the request is written to a new connection, which may be long
   /// after send().
   std::function<bool()> MayWrite;
--- a/http/http_engine_test.cpp
+++ b/http/http_engine_test.cpp
@@ -114,6 +114,7 @@
 class http_engine_test : public CppUnit::TestFixture {
   CPPUNIT_TEST_SUITE(http_engine_test);
   CPPUNIT_TEST(reusesConnection);
+  CPPUNIT_TEST(repeatedRequestTakesNoCopyForItsResponse);
   CPPUNIT_TEST(truncatedResponseIsInvalid);
   CPPUNIT_TEST(responseWithoutLengthEndsAtClose);
   CPPUNIT_TEST(unsolicitedResponseClosesConnection);
@@ -263,6 +264,56 @@
                      call_result::InvalidResponse);
   }
 
+  // Guards against a late copy of the response to an earlier attempt that is
+  // taken for the response to the next attempt with the same id (review/3).
+  void repeatedRequestTakesNoCopyForItsResponse() {
+    const std::string Refusal =
+        "HTTP/1.1 503 Busy\r\nContent-Length: 0\r\n\r\n";
+    std::atomic<int> Connections = 0;
+    blocking_server Server([&](int Connection) {
+      if (Connections++ > 0) {
+        readRequest(Connection);
+        sendText(Connection, "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n"
+                             "Connection: close\r\n\r\nok");
+        return;
+      }
+      readRequest(Connection);
+      sendText(Connection, Refusal);
+      readRequest(Connection);
+      sendText(Connection, Refusal);
+    });
+    event_loop Loop;
+    http_client Client(Loop, {});
+    std::vector<unsigned> Statuses;
+    call_handle Call;
+    std::function<void()> Next = [&] {
+      Call = Client.send(
+          Server.address(),
+          {.Method = "GET", .Target = "/", .Headers = {}, .Body = {}},
+          {.RequestId = "r",
+           .OnHead =
+               [&](const http_response &Head) {
+                 Statuses.push_back(Head.Status);
+               },
+           .OnEnd =
+               [&](const call_completion & /*End*/) {
+                 if (Statuses.size() == 2)
+                   Loop.stop();
+                 else
+                   Loop.post([&] { Next(); });
+               }});
+    };
+    Next();
+    // The server serves one connection at a time.
+    const timer_handle Timer = Loop.after(milliseconds(100), [&] {
+      Client.closeIdleConnections(Server.address());
+    });
+    runFor(Loop, milliseconds(2000));
+    CPPUNIT_ASSERT_EQUAL(size_t(2), Statuses.size());
+    CPPUNIT_ASSERT_EQUAL(503U, Statuses[0]);
+    CPPUNIT_ASSERT_EQUAL(200U, Statuses[1]);
+  }
+
   void reusesConnection() {
     event_loop Loop;
     const std::string Address = unusedAddress();
--- a/jobs/item_run.cpp
+++ b/jobs/item_run.cpp
@@ -39,7 +39,8 @@
       Charge(this->Options.Buffers), StartedAt(Now), ProgressAt(Now) {
   this->Call = this->Options.Client.send(
       Replica.Address, this->Options.Protocol.Encode(Request),
-      {.MayWrite = this->Options.MayWrite,
+      {.RequestId = RequestId,
+       .MayWrite = this->Options.MayWrite,
        .OnHead = [this](const http_response &Response) { onHead(Response); },
        .OnBody =
            [this](std::string_view Data) {
