--- a/review/engines2.py
+++ b/review/engines2.py
@@ -99,7 +99,7 @@
             if not full:
                 self.runs.append(run)
         if full:
-            request.respond(503, {}, [("Request-Id", run.identity), ("Not-" + "Executed", "1")])
+            request.respond(503, {}, [("Request-Id", run.identity), (self.stage.settings["refusal-header"], "1")])
             return
         try:
             self.stream(request)
