--- a/review/6/play.py
+++ b/review/6/play.py
@@ -55,7 +55,8 @@
 def play(stage):
     store = stage.keep(platform.ObjectStore())
     store.put("config", "main", configuration())
-    letters = [stage.keep(Engine(stage, store, ZONES[i], "letters-%d" % i, "pool", {"letters": 1})) for i in range(2)]
+    # Each replica of the second service is alone in its zone.
+    letters = [stage.keep(Engine(stage, store, ZONES[2], "letters-%d" % i, "pool", {"letters": 1})) for i in range(2)]
     notes = [stage.keep(Engine(stage, store, ZONES[i], "notes-%d" % i, "notes", {"notes": 1})) for i in range(2)]
     for i in range(2):
         stage.keep(platform.UnaryReplica(store, "desk-%d" % i, "desk"))
--- a/review/stage2.py
+++ b/review/stage2.py
@@ -26,6 +26,7 @@
 
 TROUBLE = os.environ.get("TROUBLE", "1") != "0"
 HELD, BROKEN, NOT_RUN = 0, 1, 2
+METRICS_PORT = 9464  # in the command of the deploy file
 
 
 class CannotRun(Exception):
@@ -155,8 +156,16 @@
             raise CannotRun("target/cardamomd is missing; run the build of the deploy file")
 
     def new_ip(self):
-        self.machines += 1
-        return "127.%d.%d.%d" % (*self.net, self.machines)
+        """Returns a loopback address on which the fixed port of the metrics is free."""
+        while True:
+            self.machines += 1
+            ip = "127.%d.%d.%d" % (*self.net, self.machines)
+            with socket.socket() as probe:
+                try:
+                    probe.bind((ip, METRICS_PORT))
+                    return ip
+                except OSError:
+                    continue
 
     def bound(self, name):
         return self.settings["bounds"][name]
