Reject responses whose status is outside 100 to 599

Cause: callers got a replica's status 000 as the status of their answer. The parser of Beast accepts any three digits, and gateways forward every signed response with a status below 500. 099 and 700 were passed on too. Change: http_client ends a call with such a status as InvalidResponse, as it does with other bytes that are no HTTP. All paths read through it: calls, streams, items, scoring calls, reports, orders and the store. The attempt then counts as failed, may be repeated where the request allows it, and else ends in 502. The blocking server of http_engine_test moves to a header of its own.

--- a/http/http_client.cpp
+++ b/http/http_client.cpp
@@ -327,6 +327,12 @@
       failCall(call_result::InvalidResponse, Error.message());
       return;
     }
+    // The parser accepts any three digits.
+    if (Parser->is_header_done() &&
+        !isValidStatus(Parser->get().result_int())) {
+      failCall(call_result::InvalidResponse, "status out of range");
+      return;
+    }
     // A hook may have cancelled the call.
     if (!deliverParsed() || Closed)
       return;
--- a/http/http_engine_test.cpp
+++ b/http/http_engine_test.cpp
@@ -1,6 +1,7 @@
 #include "http/event_loop.h"
 #include "http/http_client.h"
 #include "http/http_server.h"
+#include "http/test_blocking_server.h"
 
 #include <arpa/inet.h>
 #include <atomic>
@@ -18,61 +19,6 @@
 
 namespace {
 
-/// Server that uses blocking sockets on its own thread.
-class blocking_server {
-public:
-  explicit blocking_server(std::function<void(int Connection)> Serve) {
-    Listener = ::socket(AF_INET, SOCK_STREAM, 0);
-    sockaddr_in Address{};
-    Address.sin_family = AF_INET;
-    Address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
-    CPPUNIT_ASSERT_EQUAL(0, ::bind(Listener,
-                                   reinterpret_cast<sockaddr *>(&Address),
-                                   sizeof Address));
-    ::listen(Listener, 8);
-    socklen_t Length = sizeof Address;
-    ::getsockname(Listener, reinterpret_cast<sockaddr *>(&Address), &Length);
-    Port = ntohs(Address.sin_port);
-    Thread = std::thread([this, Serve = std::move(Serve)] {
-      while (true) {
-        const int Connection = ::accept(Listener, nullptr, nullptr);
-        if (Connection < 0)
-          return;
-        Serve(Connection);
-        ::close(Connection);
-      }
-    });
-  }
-  ~blocking_server() {
-    ::shutdown(Listener, SHUT_RDWR);
-    Thread.join();
-    ::close(Listener);
-  }
-  [[nodiscard]] std::string address() const {
-    return "127.0.0.1:" + std::to_string(Port);
-  }
-
-private:
-  int Listener;
-  uint16_t Port = 0;
-  std::thread Thread;
-};
-
-void readRequest(int Connection) {
-  std::string Text;
-  char Buffer[4096];
-  while (Text.find("\r\n\r\n") == std::string::npos) {
-    const ssize_t Count = ::recv(Connection, Buffer, sizeof Buffer, 0);
-    if (Count <= 0)
-      return;
-    Text.append(Buffer, size_t(Count));
-  }
-}
-
-void sendText(int Connection, const std::string &Text) {
-  ::send(Connection, Text.data(), Text.size(), MSG_NOSIGNAL);
-}
-
 /// Returns an address whose port was unused when the function returned.
 std::string unusedAddress() {
   const int Socket = ::socket(AF_INET, SOCK_STREAM, 0);
--- a/http/http_message.cpp
+++ b/http/http_message.cpp
@@ -8,6 +8,8 @@
 
 namespace cardamom {
 
+bool isValidStatus(unsigned Status) { return Status >= 100 && Status <= 599; }
+
 bool equalsIgnoringCase(std::string_view A, std::string_view B) {
   return std::equal(A.begin(), A.end(), B.begin(), B.end(),
                     [](unsigned char X, unsigned char Y) {
--- a/http/http_message.h
+++ b/http/http_message.h
@@ -55,6 +55,10 @@
   std::string Body;
 };
 
+/// Returns whether HTTP defines a class for the status: 100 to 599 (RFC 9110,
+/// 15).
+bool isValidStatus(unsigned Status);
+
 /// Compares header names and other ASCII tokens case-insensitively.
 bool equalsIgnoringCase(std::string_view A, std::string_view B);
 
