Do not take a reset during an upload for the end of a body

Cause: a replica answered a long upload at once with a 200 without length, sent a part of the body and reset the connection; callers got the part as a whole answer. A socket reports its error once. While the request is being written, the write gets ECONNRESET, so that the read gets an end of stream, which delimits such a body. Change: http_client ends the call as InvalidResponse if the write has failed before the end of the stream. The read may be the first of both to complete, so that the decision is posted behind completions that are queued. EPIPE shows that the peer's FIN came before the reset: such a body is whole, and a rejected upload keeps its response.

--- a/http/broken_response_test.cpp
+++ b/http/broken_response_test.cpp
@@ -7,6 +7,8 @@
 #include <optional>
 #include <string>
 #include <string_view>
+#include <sys/socket.h>
+#include <thread>
 
 namespace cardamom {
 
@@ -42,6 +44,9 @@
 class broken_response_test : public CppUnit::TestFixture {
   CPPUNIT_TEST_SUITE(broken_response_test);
   CPPUNIT_TEST(statusOutsideRangeIsInvalid);
+  CPPUNIT_TEST(resetDuringUploadEndsNoBody);
+  CPPUNIT_TEST(resetAfterWholeBodyKeepsIt);
+  CPPUNIT_TEST(earlyResponseToUploadIsComplete);
   CPPUNIT_TEST_SUITE_END();
 
   static fetched_response fetchWithStatus(std::string_view Status) {
@@ -52,6 +57,18 @@
     });
   }
 
+  static fetched_response
+  upload(const std::function<void(int Connection)> &Serve) {
+    // Too large for the buffers of the sockets, so that the write is pending.
+    static constexpr size_t BodyBytes = size_t(16) << 20;
+    return fetchFrom(
+        [&](int Connection) {
+          readRequest(Connection);
+          Serve(Connection);
+        },
+        std::string(BodyBytes, 'x'));
+  }
+
 public:
   // Guards against a status that HTTP does not define and that callers get as
   // that of a response.
@@ -65,6 +82,53 @@
                              fetchWithStatus(Status).Result ==
                                  call_result::Complete);
   }
+
+  // Guards against a part of a body that counts as the whole one because the
+  // write of the request, not the read, reported the reset.
+  void resetDuringUploadEndsNoBody() {
+    for (int Round = 0; Round < 40; ++Round) {
+      const fetched_response Fetched = upload([&](int Connection) {
+        sendText(Connection, "HTTP/1.1 200 OK\r\n\r\npart");
+        std::this_thread::sleep_for(milliseconds(Round % 4));
+        resetOnClose(Connection);
+      });
+      CPPUNIT_ASSERT(Fetched.Result == call_result::InvalidResponse ||
+                     Fetched.Result == call_result::NoResponse);
+    }
+  }
+
+  // Guards against a rejected upload whose response is lost because the server
+  // ends the connection without having read the body.
+  void resetAfterWholeBodyKeepsIt() {
+    for (int Round = 0; Round < 40; ++Round) {
+      const bool WithLength = Round % 2 == 0;
+      const fetched_response Fetched = upload([&](int Connection) {
+        sendText(Connection, std::string("HTTP/1.1 413 Too Large\r\n") +
+                                 (WithLength ? "Content-Length: 5\r\n" : "") +
+                                 "\r\nwhole");
+        ::shutdown(Connection, SHUT_WR);
+        std::this_thread::sleep_for(milliseconds(Round / 2 % 4));
+        resetOnClose(Connection);
+      });
+      CPPUNIT_ASSERT(Fetched.Result == call_result::Complete);
+      CPPUNIT_ASSERT_EQUAL(413U, Fetched.Response.Status);
+      CPPUNIT_ASSERT_EQUAL(std::string("whole"), Fetched.Response.Body);
+    }
+  }
+
+  // Guards against a response that is withheld until its request has been
+  // written.
+  void earlyResponseToUploadIsComplete() {
+    const fetched_response Fetched = upload([](int Connection) {
+      sendText(Connection, "HTTP/1.1 200 OK\r\n\r\nwhole");
+      ::shutdown(Connection, SHUT_WR);
+      char Buffer[4096];
+      while (::recv(Connection, Buffer, sizeof Buffer, 0) > 0)
+        std::this_thread::sleep_for(milliseconds(1));
+    });
+    CPPUNIT_ASSERT(Fetched.Result == call_result::Complete);
+    CPPUNIT_ASSERT_EQUAL(std::string("whole"), Fetched.Response.Body);
+  }
 };
 
 CPPUNIT_TEST_SUITE_NAMED_REGISTRATION(broken_response_test,
--- a/http/http_client.cpp
+++ b/http/http_client.cpp
@@ -111,6 +111,7 @@
   void read();
   void onRead(const error_code &Error, size_t Bytes);
   void onReadError(const error_code &Error);
+  void onEndOfStream();
   void parse();
   bool deliverParsed();
   void startResponse();
@@ -136,6 +137,8 @@
   size_t FramingBytes = 0;
   /// A response may arrive before the request has been written completely.
   bool Writing = false;
+  /// The connection failed before the peer's end of stream was received.
+  bool WriteAborted = false;
 };
 
 } // namespace
@@ -259,6 +262,8 @@
         // The read loop reports the error after it has processed the data
         // that the peer sent before the failure.
         Self->Writing = bool(Error);
+        // EPIPE is the error of a reset that follows the peer's end of stream.
+        Self->WriteAborted = Error && Error != asio::error::broken_pipe;
       });
 }
 
@@ -301,16 +306,25 @@
   }
   if (Error == asio::error::eof && Parser->is_header_done() &&
       !Parser->is_done()) {
-    error_code EofError;
-    Parser->put_eof(EofError);
-    if (!EofError && Parser->is_done()) {
-      completeCall();
-      return;
-    }
+    // An error of a socket is reported only once. If a write got it, the read
+    // gets the end of the stream, maybe before the write's completion has run.
+    Client->Loop.post([Self = shared_from_this()] { Self->onEndOfStream(); });
+    return;
   }
   failCall(call_result::InvalidResponse, Error.message());
 }
 
+void connection::onEndOfStream() {
+  if (Closed)
+    return;
+  error_code Error;
+  Parser->put_eof(Error);
+  if (!Error && Parser->is_done() && !WriteAborted)
+    completeCall();
+  else
+    failCall(call_result::InvalidResponse, "the connection ended early");
+}
+
 void connection::parse() {
   while (!Closed && CallInProgress && Buffer.size() > 0) {
     error_code Error;
