Reject responses with folded header lines

Cause: a line of a head that begins with a blank continues the value before it in old HTTP, and Beast joins both. Where the name of a field began with a blank, callers got the line as a part of another field, and a blank before Content-Length removed the frame: the body then ran to the end of the connection. Change: http_client ends the call as InvalidResponse, as RFC 9112, 5.2 allows a gateway to.

--- a/http/broken_response_test.cpp
+++ b/http/broken_response_test.cpp
@@ -2,8 +2,11 @@
 #include "http/http_client.h"
 #include "http/test_blocking_server.h"
 
+#include <chrono>
 #include <cppunit/extensions/HelperMacros.h>
 #include <functional>
+#include <netinet/in.h>
+#include <netinet/tcp.h>
 #include <optional>
 #include <string>
 #include <string_view>
@@ -44,6 +47,9 @@
 class broken_response_test : public CppUnit::TestFixture {
   CPPUNIT_TEST_SUITE(broken_response_test);
   CPPUNIT_TEST(statusOutsideRangeIsInvalid);
+  CPPUNIT_TEST(fieldNameWithInvalidByteIsInvalid);
+  CPPUNIT_TEST(foldedLineIsInvalid);
+  CPPUNIT_TEST(bodyMayContainAnyBytes);
   CPPUNIT_TEST(resetDuringUploadEndsNoBody);
   CPPUNIT_TEST(resetAfterWholeBodyKeepsIt);
   CPPUNIT_TEST(earlyResponseToUploadIsComplete);
@@ -57,6 +63,39 @@
     });
   }
 
+  /// The whole response is "ok" if the client ignores Line.
+  static std::string responseWithLine(bool LineIsFirst, std::string_view Line) {
+    const std::string Valid = "A: b\r\nContent-Length: 2\r\n";
+    const std::string Added = std::string(Line) + "\r\n";
+    return "HTTP/1.1 200 OK\r\n" +
+           (LineIsFirst ? Added + Valid : Valid + Added) + "\r\nok";
+  }
+
+  static fetched_response fetchText(const std::string &Response,
+                                    bool BytesApart = false) {
+    return fetchFrom([&](int Connection) {
+      readRequest(Connection);
+      if (!BytesApart)
+        return sendText(Connection, Response);
+      const int NoDelay = 1;
+      ::setsockopt(Connection, IPPROTO_TCP, TCP_NODELAY, &NoDelay,
+                   sizeof NoDelay);
+      for (const char Byte : Response) {
+        sendText(Connection, std::string(1, Byte));
+        std::this_thread::sleep_for(std::chrono::microseconds(100));
+      }
+    });
+  }
+
+  static void checkLineIsInvalid(std::string_view Line) {
+    for (const bool LineIsFirst : {false, true})
+      for (const bool BytesApart : {false, true})
+        CPPUNIT_ASSERT_MESSAGE(
+            std::string(Line),
+            fetchText(responseWithLine(LineIsFirst, Line), BytesApart).Result ==
+                call_result::InvalidResponse);
+  }
+
   static fetched_response
   upload(const std::function<void(int Connection)> &Serve) {
     // Too large for the buffers of the sockets, so that the write is pending.
@@ -83,6 +122,46 @@
                                  call_result::Complete);
   }
 
+  // Guards against a name that callers read differently, so that the line is
+  // passed on or frames another body.
+  void fieldNameWithInvalidByteIsInvalid() {
+    for (const char Byte : std::string("\0\1\t\n\v\r\x1b \x7f\x80\xff", 11)) {
+      checkLineIsInvalid(std::string("X") + Byte + "Y: z");
+      checkLineIsInvalid(std::string("X") + Byte + ": z");
+      checkLineIsInvalid(std::string("Content") + Byte + "Length: 1");
+      checkLineIsInvalid(std::string("Content-Length") + Byte + ": 1");
+    }
+    checkLineIsInvalid(": z");
+    checkLineIsInvalid("X");
+  }
+
+  // Guards against a name after a blank that counts as a part of the value
+  // before, so that the line is passed on or frames no body.
+  void foldedLineIsInvalid() {
+    for (const std::string_view Blank : {" ", "\t", "  ", " \t"}) {
+      checkLineIsInvalid(std::string(Blank) + "X: y");
+      checkLineIsInvalid(std::string(Blank) + "Content-Length: 1");
+      checkLineIsInvalid(std::string(Blank));
+      checkLineIsInvalid("X:\r\n" + std::string(Blank) + "y");
+      checkLineIsInvalid("X: y\r\n" + std::string(Blank) + "Y: z");
+    }
+  }
+
+  // Guards against a body that is read as header lines.
+  void bodyMayContainAnyBytes() {
+    const std::string Body = "\r\n X: y\r\n\r\n\tY: z\r\n ";
+    for (const bool BytesApart : {false, true})
+      for (const std::string &Lines :
+           {std::string("\r\n"), std::string("A: b\r\n\r\n"),
+            "Content-Length: " + std::to_string(Body.size()) + "\r\n\r\n"}) {
+        const fetched_response Fetched = fetchText(
+            "HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 200 OK\r\n" + Lines + Body,
+            BytesApart);
+        CPPUNIT_ASSERT(Fetched.Result == call_result::Complete);
+        CPPUNIT_ASSERT_EQUAL(Body, Fetched.Response.Body);
+      }
+  }
+
   // Guards against a part of a body that counts as the whole one because the
   // write of the request, not the read, reported the reset.
   void resetDuringUploadEndsNoBody() {
--- a/http/http_client.cpp
+++ b/http/http_client.cpp
@@ -325,10 +325,30 @@
     failCall(call_result::InvalidResponse, "the connection ended early");
 }
 
+/// Returns whether a line of the head that Bytes starts with continues the line
+/// before it (RFC 9112, 5.2). Bytes starts at the beginning of a line.
+static bool hasFoldedLine(std::string_view Bytes) {
+  size_t LineEnd = 0;
+  while ((LineEnd = Bytes.find("\r\n")) != std::string_view::npos &&
+         LineEnd > 0) {
+    Bytes.remove_prefix(LineEnd + 2);
+    if (Bytes.starts_with(' ') || Bytes.starts_with('\t'))
+      return true;
+  }
+  return false;
+}
+
 void connection::parse() {
   while (!Closed && CallInProgress && Buffer.size() > 0) {
     error_code Error;
-    const size_t Consumed = Parser->put(Buffer.data(), Error);
+    const bool InHead = !Parser->is_header_done();
+    const auto Unparsed = Buffer.data();
+    const size_t Consumed = Parser->put(Unparsed, Error);
+    // The parser consumes only whole fields of a head, with the lines that
+    // continue them, and would join these lines.
+    const bool Folded =
+        InHead &&
+        hasFoldedLine({static_cast<const char *>(Unparsed.data()), Consumed});
     Buffer.consume(Consumed);
     const size_t BodyBytes =
         Parser->is_header_done() ? Parser->get().body().size() : 0;
@@ -347,6 +367,10 @@
       failCall(call_result::InvalidResponse, "status out of range");
       return;
     }
+    if (Folded) {
+      failCall(call_result::InvalidResponse, "folded header line");
+      return;
+    }
     // A hook may have cancelled the call.
     if (!deliverParsed() || Closed)
       return;
--- a/http/http_client.h
+++ b/http/http_client.h
@@ -39,7 +39,9 @@
   /// The connection ended before the first byte of the response, or fetch()
   /// timed out.
   NoResponse,
-  /// The response was truncated or is not valid HTTP.
+  /// The response was truncated or is not valid HTTP. This includes a body
+  /// without length whose connection was reset, a status outside 100 to 599,
+  /// and folded header lines.
   InvalidResponse,
 };
 
