Do not wait for the body of a response to HEAD

Cause: http_client read a body of the stated length after the head of a response to HEAD, which has none, until the call's time was up. Change: the parser skips the body of such a response. Agents need this once they read upstreams through http_client. Measured: responseToHeadHasNoBody failed before and passes now.

--- a/http/http_client.cpp
+++ b/http/http_client.cpp
@@ -131,6 +131,7 @@
   bool Connected = false;
   bool CallInProgress = false;
   bool Closed = false;
+  bool ExpectsNoBody = false;
   bool HeadDelivered = false;
   bool ResponseStarted = false;
   /// Bytes received since the last part of the body, or since the start.
@@ -151,6 +152,8 @@
   }
   call_hooks Hooks;
   std::string Request;
+  /// A response to HEAD has no body, whatever length it states.
+  bool IsHead = false;
   connection_ptr Connection;
   bool Reused = false;
   /// Only for fetch().
@@ -206,6 +209,7 @@
   HeadDelivered = false;
   ResponseStarted = false;
   Outgoing = std::move(NewCall->Request);
+  ExpectsNoBody = NewCall->IsHead;
   FramingBytes = 0;
   startResponse();
   rememberSent(NewCall->Hooks.RequestId);
@@ -239,6 +243,7 @@
   Parser->eager(true);
   Parser->header_limit(uint32_t(Client->Options.MaxHeaderBytes));
   Parser->body_limit(boost::none);
+  Parser->skip(ExpectsNoBody);
 }
 
 /// Logs a request that is written long after its replica was chosen.
@@ -533,6 +538,7 @@
   auto Call = std::make_shared<client_call_state>();
   Call->Hooks = std::move(Hooks);
   Call->Request = serializeRequest(Request);
+  Call->IsHead = Request.Method == "HEAD";
   connection_ptr Connection = State->takeIdle(Address, Call->Hooks.RequestId);
   if (!Connection)
     Connection = std::make_shared<connection>(State, Address);
--- a/http/http_engine_test.cpp
+++ b/http/http_engine_test.cpp
@@ -63,6 +63,7 @@
   CPPUNIT_TEST(repeatedRequestTakesNoCopyForItsResponse);
   CPPUNIT_TEST(truncatedResponseIsInvalid);
   CPPUNIT_TEST(responseWithoutLengthEndsAtClose);
+  CPPUNIT_TEST(responseToHeadHasNoBody);
   CPPUNIT_TEST(unsolicitedResponseClosesConnection);
   CPPUNIT_TEST(cancelledCallClosesConnection);
   CPPUNIT_TEST(endlessHeadEndsCall);
@@ -310,6 +311,29 @@
     CPPUNIT_ASSERT_EQUAL(std::string("whole"), Outcomes.at(0).Response.Body);
   }
 
+  // Guards against a call that waits for a body which does not come.
+  void responseToHeadHasNoBody() {
+    const blocking_server Server([](int Connection) {
+      readRequest(Connection);
+      sendText(Connection, "HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\n");
+      readRequest(Connection);
+    });
+    event_loop Loop;
+    http_client Client(Loop, {});
+    std::optional<call_result> Result;
+    const call_handle Call = Client.fetch(
+        Server.address(),
+        {.Method = "HEAD", .Target = "/", .Headers = {{"Host", "h"}}},
+        milliseconds(2000),
+        [&](const call_completion &End, const http_response &Response) {
+          CPPUNIT_ASSERT_EQUAL(std::string(), Response.Body);
+          Result = End.Result;
+          Loop.stop();
+        });
+    runFor(Loop, milliseconds(3000));
+    CPPUNIT_ASSERT(Result == call_result::Complete);
+  }
+
   // Guards against an unsolicited second response that is taken for the
   // response to the next request.
   void unsolicitedResponseClosesConnection() {
