Read the responses of agents' upstreams with http_client

Cause: agents passed on a response with status 000, 099 or 700, and one with a blank or control byte in the name of a field, where Content-Length with a blank after it also lost the frame of the body. cpp-httplib's client accepts them, and it skips lines that do not end in CRLF, so that a check of its result would miss a name with a line feed. Callers of entries got them as answers. Change: upstream_client uses http_client, with an event loop for each call, as http_pool does. There is one reader of responses with one set of checks now. Its time limit on acknowledgements is the idle time of the call. A cancelled call whose sink waits for its reader closes its connection when that wait ends.

--- a/agent/upstream_client.cpp
+++ b/agent/upstream_client.cpp
@@ -1,9 +1,10 @@
 #include "agent/upstream_client.h"
 
 #include "agent/token_stream_parser.h"
+#include "http/event_loop.h"
+#include "http/http_client.h"
 #include "inner/gen/messages.pb.h"
 
-#include <httplib.h>
 #include <nlohmann/json.hpp>
 
 #include <algorithm>
@@ -12,35 +13,35 @@
 #include <set>
 #include <utility>
 
-// <httplib.h> includes <resolv.h>, whose headers define this macro.
-#undef REFUSED
-
 namespace cardamom {
 
 struct upstream_client::active_call {
-  explicit active_call(const std::string &Address)
-      : Client("http://" + Address) {}
-  httplib::Client Client;
-  bool IsModel = false;
+  active_call(const upstream_client_options &Options, bool IsModel)
+      : IsModel(IsModel), IdleTimeout(IsModel ? Options.ModelIdleTimeout
+                                              : Options.PlainIdleTimeout),
+        Client(Loop, {.ConnectTimeout = Options.ConnectTimeout,
+                      // An upstream may pause before it reads a long request.
+                      .AckTimeout = IdleTimeout}) {}
+
+  const bool IsModel;
+  const milliseconds IdleTimeout;
+  event_loop Loop;
+  http_client Client;
   std::atomic<bool> Cancelled{false};
 };
 
+/// Receives a response. A hook that returns false aborts the call.
+struct upstream_client::response_hooks {
+  std::function<bool(const http_response &Head)> OnHead;
+  std::function<bool(std::string_view Bytes)> OnBody;
+};
+
 /// Registers a call for cancel() while it is in progress.
 class upstream_client::call_registration {
 public:
   call_registration(upstream_client &Owner, std::string_view Id, bool IsModel)
       : Owner(Owner), Id(Id),
-        Call(std::make_shared<active_call>(Owner.Options.Address)) {
-    const upstream_client_options &O = Owner.Options;
-    Call->IsModel = IsModel;
-    Call->Client.set_connection_timeout(O.ConnectTimeout);
-    Call->Client.set_read_timeout(IsModel ? O.ModelIdleTimeout
-                                          : O.PlainIdleTimeout);
-    Call->Client.set_write_timeout(O.PlainIdleTimeout);
-    Call->Client.set_tcp_nodelay(true);
-    // Request and response are forwarded unchanged.
-    Call->Client.set_url_encode(false);
-    Call->Client.set_decompress(false);
+        Call(std::make_shared<active_call>(Owner.Options, IsModel)) {
     std::lock_guard Lock(Owner.Mutex);
     Owner.ActiveCalls[this->Id] = Call;
   }
@@ -80,9 +81,9 @@
   return Lower;
 }
 
-/// Headers that are not forwarded: hop-by-hop headers and those that the HTTP
-/// library sets.
-static std::set<std::string> hopByHopHeaders(const std::string &Connection) {
+/// Headers that are not forwarded: hop-by-hop headers, which Connection
+/// extends, and those that frame or address a message.
+static std::set<std::string> hopByHopHeaders(std::string_view Connection) {
   std::set<std::string> Names = {"connection",
                                  "keep-alive",
                                  "proxy-authenticate",
@@ -96,7 +97,7 @@
                                  "content-length",
                                  "expect"};
   std::string Name;
-  for (char C : toLower(Connection) + ",") {
+  for (char C : toLower(Connection) + ',') {
     if (C != ',') {
       if (C != ' ' && C != '\t')
         Name += C;
@@ -108,46 +109,85 @@
   return Names;
 }
 
-static wire::response_head toResponseHead(const httplib::Response &Response) {
+static wire::response_head toResponseHead(const http_response &Response) {
   wire::response_head Head;
-  Head.set_status(uint32_t(Response.status));
-  const auto ExcludedHeaders =
-      hopByHopHeaders(Response.get_header_value("Connection"));
-  for (const auto &[Name, Value] : Response.headers) {
-    if (ExcludedHeaders.contains(toLower(Name)))
+  Head.set_status(Response.Status);
+  std::string Connection;
+  for (const http_header &Header : Response.Headers)
+    if (equalsIgnoringCase(Header.Name, "Connection"))
+      Connection += Header.Value + ",";
+  const auto ExcludedHeaders = hopByHopHeaders(Connection);
+  for (const http_header &Header : Response.Headers) {
+    if (ExcludedHeaders.contains(toLower(Header.Name)))
       continue;
     wire::header_field &Field = *Head.add_headers();
-    Field.set_name(Name);
-    Field.set_value(Value);
+    Field.set_name(Header.Name);
+    Field.set_value(Header.Value);
   }
   return Head;
 }
 
-wire::run_end upstream_client::sendRequest(active_call &Call,
-                                           httplib::Request &Request,
-                                           httplib::Response &Response) {
-  httplib::Error Error = httplib::Error::Success;
-  const bool Sent = Call.Client.send(Request, Response, Error);
-  if (Sent)
+wire::run_end upstream_client::exchange(active_call &Call,
+                                        const http_request &Request,
+                                        const response_hooks &Hooks) const {
+  call_completion Completion;
+  timer_handle IdleTimer;
+  call_handle Handle;
+  bool Ended = false;
+  const auto EndCall = [&](const call_completion &New) {
+    Ended = true;
+    Completion = New;
+    Handle.reset();
+    Call.Loop.stop();
+  };
+  const auto RestartIdleTimer = [&] {
+    IdleTimer = Call.Loop.after(Call.IdleTimeout, [&] {
+      EndCall({.Result = call_result::NoResponse, .Detail = "idle timeout"});
+    });
+  };
+  const auto ContinueIf = [&](bool Wanted) {
+    if (Wanted)
+      RestartIdleTimer();
+    else
+      EndCall({.Result = call_result::InvalidResponse, .Detail = "aborted"});
+  };
+  RestartIdleTimer();
+  Handle = Call.Client.send(
+      Options.Address, Request,
+      {.OnHead =
+           [&](const http_response &Head) { ContinueIf(Hooks.OnHead(Head)); },
+       .OnBody =
+           [&](std::string_view Bytes) {
+             // OnHead may have ended the call just before.
+             if (!Ended)
+               ContinueIf(Hooks.OnBody(Bytes));
+           },
+       .OnEnd = EndCall});
+  Call.Loop.run();
+  const std::string Message = Options.Address + ": " + Completion.Detail;
+  if (Completion.Result == call_result::Complete)
     return makeEnd(wire::COMPLETED, "");
-  if (Error == httplib::Error::Connection ||
-      Error == httplib::Error::ConnectionTimeout)
-    return makeEnd(wire::REFUSED, "upstream_unreachable",
-                   Options.Address + ": " + httplib::to_string(Error));
+  if (Completion.Result == call_result::NotConnected)
+    return makeEnd(wire::REFUSED, "upstream_unreachable", Message);
   if (Call.Cancelled)
     return makeEnd(wire::CANCELLED, "cancelled");
   return makeEnd(wire::UPSTREAM_FAILED,
-                 Call.IsModel ? "engine_failed" : "upstream_failed",
-                 Options.Address + ": " + httplib::to_string(Error));
+                 Call.IsModel ? "engine_failed" : "upstream_failed", Message);
+}
+
+http_request upstream_client::makeRequest(std::string Method,
+                                          std::string Target,
+                                          std::string Body) const {
+  return {.Method = std::move(Method),
+          .Target = std::move(Target),
+          .Headers = {{"Host", Options.Address}, {"Connection", "close"}},
+          .Body = std::move(Body)};
 }
 
 wire::run_end upstream_client::runPlain(std::string_view Id,
                                         const wire::plain_call &Call,
                                         const response_sink &Sink) {
-  httplib::Request Request;
-  Request.method = Call.method();
-  Request.path = Call.target();
-  Request.body = Call.body();
+  http_request Request = makeRequest(Call.method(), Call.target(), Call.body());
   std::string Connection;
   for (const wire::header_field &Field : Call.headers())
     if (toLower(Field.name()) == "connection")
@@ -155,24 +195,20 @@
   const auto ExcludedHeaders = hopByHopHeaders(Connection);
   for (const wire::header_field &Field : Call.headers())
     if (!ExcludedHeaders.contains(toLower(Field.name())))
-      Request.headers.emplace(Field.name(), Field.value());
-  bool HasHead = false;
+      Request.Headers.add(Field.name(), Field.value());
   bool SinkAborted = false;
-  Request.response_handler = [&](const httplib::Response &Response) {
-    HasHead = true;
-    Sink.OnHead(toResponseHead(Response));
-    return true;
-  };
-  Request.content_receiver = [&](const char *Data, size_t Length, uint64_t,
-                                 uint64_t) {
-    SinkAborted = !Sink.OnBytes({Data, Length});
-    return !SinkAborted;
-  };
+  const response_hooks Hooks = {.OnHead =
+                                    [&](const http_response &Head) {
+                                      Sink.OnHead(toResponseHead(Head));
+                                      return true;
+                                    },
+                                .OnBody =
+                                    [&](std::string_view Bytes) {
+                                      SinkAborted = !Sink.OnBytes(Bytes);
+                                      return !SinkAborted;
+                                    }};
   call_registration Scope(*this, Id, false);
-  httplib::Response Response;
-  wire::run_end End = sendRequest(Scope.call(), Request, Response);
-  if (End.code() == wire::COMPLETED && !HasHead)
-    Sink.OnHead(toResponseHead(Response)); // No body, as for HEAD or 204.
+  wire::run_end End = exchange(Scope.call(), Request, Hooks);
   if (SinkAborted && End.code() == wire::UPSTREAM_FAILED)
     End.set_reason("answer_too_large");
   return End;
@@ -193,7 +229,7 @@
 
 /// Combines the results of a model call: Result of the token stream, the HTTP
 /// Status (0 if no response was received) and HttpEnd of the HTTP exchange.
-static wire::run_end makeModelEnd(token_stream_result Result, int Status,
+static wire::run_end makeModelEnd(token_stream_result Result, unsigned Status,
                                   wire::run_end HttpEnd) {
   if (HttpEnd.code() == wire::REFUSED)
     return HttpEnd;
@@ -228,26 +264,22 @@
                                         const wire::model_call &Call,
                                         unsigned Priority,
                                         const response_sink &Sink) {
-  httplib::Request Request;
-  Request.method = "POST";
-  Request.path = "/generate";
-  Request.body = generateRequestBody(Id, Call, Priority);
-  Request.headers.emplace("Content-Type", "application/json");
-  int Status = 0;
-  Request.response_handler = [&](const httplib::Response &Response) {
-    Status = Response.status;
-    if (Status == 200)
-      Sink.OnHead(toResponseHead(Response));
-    return Status == 200;
-  };
+  http_request Request =
+      makeRequest("POST", "/generate", generateRequestBody(Id, Call, Priority));
+  Request.Headers.add("Content-Type", "application/json");
+  unsigned Status = 0;
   token_stream_parser Parser({.OnToken = Sink.OnToken});
-  Request.content_receiver = [&](const char *Data, size_t Length, uint64_t,
-                                 uint64_t) {
-    return Parser.feed({Data, Length});
-  };
+  const response_hooks Hooks = {
+      .OnHead =
+          [&](const http_response &Head) {
+            Status = Head.Status;
+            if (Status == 200)
+              Sink.OnHead(toResponseHead(Head));
+            return Status == 200;
+          },
+      .OnBody = [&](std::string_view Bytes) { return Parser.feed(Bytes); }};
   call_registration Scope(*this, Id, true);
-  httplib::Response Response;
-  const wire::run_end HttpEnd = sendRequest(Scope.call(), Request, Response);
+  const wire::run_end HttpEnd = exchange(Scope.call(), Request, Hooks);
   wire::run_end End = makeModelEnd(Parser.result(), Status, HttpEnd);
   // The engine may still generate for a call that was aborted here.
   if (End.code() == wire::UPSTREAM_FAILED)
@@ -270,7 +302,7 @@
   // After a confirmed cancellation the engine ends the stream itself, with a
   // final line.
   if (!Call->IsModel || !Engine.cancel(Id))
-    Call->Client.stop();
+    Call->Loop.stop();
 }
 
 } // namespace cardamom
--- a/agent/upstream_client.h
+++ b/agent/upstream_client.h
@@ -29,14 +29,10 @@
 #include <string>
 #include <string_view>
 
-namespace httplib {
-class Client;
-struct Request;
-struct Response;
-} // namespace httplib
-
 namespace cardamom {
 
+struct http_request;
+
 namespace wire {
 class model_call;
 class plain_call;
@@ -83,10 +79,14 @@
 private:
   struct active_call;
   class call_registration;
+  struct response_hooks;
 
   std::shared_ptr<active_call> findCall(std::string_view Id);
-  wire::run_end sendRequest(active_call &Call, httplib::Request &Request,
-                            httplib::Response &Response);
+  [[nodiscard]] http_request makeRequest(std::string Method, std::string Target,
+                                         std::string Body) const;
+  /// Sends Request and blocks until the call ends.
+  wire::run_end exchange(active_call &Call, const http_request &Request,
+                         const response_hooks &Hooks) const;
 
   upstream_client_options Options;
   engine_client Engine;
