Load each model on some replica, also with fewer replicas than models

Cause: modelQuotas() rounds the share of a model down to no replica when there are fewer replicas than models, and planWeightChanges() orders a replica to load only its one assigned model. A model whose replicas are all in backoff after failed calls is not loaded elsewhere for the same reason. Change: a model that none of its assigned replicas can load is also followed by one of the replicas with the fewest models. Replicas in backoff are now passed to the plan with their versions and a flag, so that the plan can tell them from replicas without the model. Before: weight_plan_test, loadsEachModelSomewhereWithFewReplicas ("m0 on 1") and loadsModelElsewhereDuringBackoff failed. The latter also fails if the test describes the failing replica as the code before did, without versions.

--- a/jobs/weight_updater.cpp
+++ b/jobs/weight_updater.cpp
@@ -103,24 +103,16 @@
   for (const replica *Replica : Options.Directory.listed(Options.Pool)) {
     if (Replica->Draining)
       continue;
-    weight_replica Candidate{.Id = Replica->Id,
-                             .Versions = {},
-                             .OrderPending = Changes.contains(Replica->Id),
-                             .RunningRequests =
-                                 Options.RunningItemCount(Replica->Id)};
     const auto RetryAt = RetryNotBefore.find(Replica->Id);
-    const bool InBackoff =
-        (RetryAt != RetryNotBefore.end() && Now < RetryAt->second) ||
-        Options.Directory.inBackoff(Replica->Id, Now);
-    // The entry of a replica in backoff has no versions: the replica still
-    // counts when models are assigned to replicas, but gets no order.
-    if (InBackoff && !Candidate.OrderPending) {
-      Replicas.push_back(std::move(Candidate));
-      continue;
-    }
+    weight_replica &Candidate = Replicas.emplace_back(weight_replica{
+        .Id = Replica->Id,
+        .OrderPending = Changes.contains(Replica->Id),
+        .InBackoff =
+            (RetryAt != RetryNotBefore.end() && Now < RetryAt->second) ||
+            Options.Directory.inBackoff(Replica->Id, Now),
+        .RunningRequests = Options.RunningItemCount(Replica->Id)});
     for (const auto &[Model, Version] : Replica->Versions)
       Candidate.Versions[Model] = Version;
-    Replicas.push_back(std::move(Candidate));
   }
   updateDemand(Replicas.size());
   const std::vector<std::string> Postponed = postponedModels(Now);
--- a/policy/weight_plan.cpp
+++ b/policy/weight_plan.cpp
@@ -5,6 +5,7 @@
 #include <algorithm>
 #include <cmath>
 #include <numeric>
+#include <optional>
 #include <set>
 #include <tuple>
 
@@ -73,6 +74,44 @@
   return Assigned;
 }
 
+/// Whether the replica can be ordered to load the model, now or after the order
+/// that it is carrying out.
+static bool canLoad(const weight_replica &Replica, std::string_view Model) {
+  return Replica.Versions.contains(Model) &&
+         (Replica.OrderPending || !Replica.InBackoff);
+}
+
+/// Returns the models whose versions each replica follows. These are the
+/// assigned model and those that no replica could load otherwise: each of them
+/// is added to one of the replicas that follow the fewest models.
+static std::vector<std::set<std::string_view>>
+followedModels(std::span<const weight_replica> Replicas,
+               std::span<const std::string> Models,
+               std::span<const std::string> Assigned) {
+  std::vector<std::set<std::string_view>> Followed(Replicas.size());
+  std::set<std::string_view> Loadable;
+  for (size_t R = 0; R < Replicas.size(); ++R) {
+    Followed[R].insert(Assigned[R]);
+    if (canLoad(Replicas[R], Assigned[R]))
+      Loadable.insert(Assigned[R]);
+  }
+  for (const std::string &Model : Models) {
+    if (Loadable.contains(Model))
+      continue;
+    const auto Cost = [&](size_t R) {
+      return std::tuple(Followed[R].size(),
+                        ~rendezvousScore(Replicas[R].Id, Model));
+    };
+    std::optional<size_t> Best;
+    for (size_t R = 0; R < Replicas.size(); ++R)
+      if (canLoad(Replicas[R], Model) && (!Best || Cost(R) < Cost(*Best)))
+        Best = R;
+    if (Best)
+      Followed[*Best].insert(Model);
+  }
+  return Followed;
+}
+
 std::vector<weight_change> planWeightChanges(const weight_plan_input &Input) {
   const auto MaxLoads =
       std::max<long>(1, std::lround(Input.MaxConcurrentFraction *
@@ -89,6 +128,8 @@
   }
   const std::vector<std::string> Assigned = assignModels(
       Input.Replicas, Models, modelQuotas(Input.Replicas.size(), Demand));
+  const std::vector<std::set<std::string_view>> Followed =
+      followedModels(Input.Replicas, Models, Assigned);
   long PendingOrders = 0;
   std::vector<load_candidate> Candidates;
   for (size_t I = 0; I < Input.Replicas.size(); ++I) {
@@ -97,10 +138,12 @@
       ++PendingOrders;
       continue;
     }
+    if (Replica.InBackoff)
+      continue;
     for (const auto &[Model, Version] : Replica.Versions) {
       const auto Newest = Input.NewestVersions.find(Model);
       if (Newest == Input.NewestVersions.end() || Newest->second <= Version ||
-          Assigned[I] != Model ||
+          !Followed[I].contains(Model) ||
           std::find(Input.PostponedModels.begin(), Input.PostponedModels.end(),
                     Model) != Input.PostponedModels.end())
         continue;
--- a/policy/weight_plan.h
+++ b/policy/weight_plan.h
@@ -7,11 +7,13 @@
 ///     Change.Model
 ///
 /// Trainers announce a version every few seconds, and concurrent loads slow
-/// each other down. If several models are trained, each gets an equal share of
-/// the replicas, and only these follow its versions, so that a version is in
-/// use after fewer loads. A bounded number of replicas load at a time, those
-/// with the oldest weights first. Each loads the newest version and skips the
-/// versions in between. Pure functions; O(models x replicas x log replicas).
+/// each other down. If several models are trained, each gets a share of the
+/// replicas, and only these follow its versions, so that a version is in use
+/// after fewer loads. A model whose share is less than one replica, or whose
+/// replicas are all in backoff, is followed by a replica of another model as
+/// well. A bounded number of replicas load at a time, those with the oldest
+/// weights first. Each loads the newest version and skips the versions in
+/// between. Pure functions; O(models x replicas x log replicas).
 
 #ifndef CARDAMOM_POLICY_WEIGHT_PLAN_H
 #define CARDAMOM_POLICY_WEIGHT_PLAN_H
@@ -32,6 +34,8 @@
   std::map<std::string_view, uint64_t> Versions;
   /// Whether a load order is in progress or its outcome is not known yet.
   bool OrderPending = false;
+  /// Whether the replica gets no new orders because calls to it failed.
+  bool InBackoff = false;
   unsigned RunningRequests = 0;
 };
 
--- a/policy/weight_plan_test.cpp
+++ b/policy/weight_plan_test.cpp
@@ -15,6 +15,8 @@
   CPPUNIT_TEST(sharesReplicasByDemand);
   CPPUNIT_TEST(changesFewAssignmentsWhenReplicaIsRemoved);
   CPPUNIT_TEST(keepsUpWithTrainers);
+  CPPUNIT_TEST(loadsEachModelSomewhereWithFewReplicas);
+  CPPUNIT_TEST(loadsModelElsewhereDuringBackoff);
   CPPUNIT_TEST_SUITE_END();
 
   using version_map = std::map<std::string, uint64_t, std::less<>>;
@@ -35,6 +37,33 @@
     return modelQuotas(Replicas, std::vector<double>(Models, 0));
   }
 
+  /// Carries out the planned loads until no more are planned. Returns their
+  /// number.
+  static unsigned loadAll(std::vector<weight_replica> &Replicas,
+                          const weight_plan_input &Input) {
+    unsigned Loads = 0;
+    for (auto Plan = planWeightChanges(Input); !Plan.empty();
+         Plan = planWeightChanges(Input)) {
+      for (const weight_change &Change : Plan) {
+        CPPUNIT_ASSERT(!Replicas[Change.Replica].InBackoff);
+        Replicas[Change.Replica].Versions.find(Change.Model)->second =
+            Change.Version;
+        CPPUNIT_ASSERT(++Loads < 1000);
+      }
+    }
+    return Loads;
+  }
+
+  /// Returns how many replicas have that version of the model or a newer one.
+  static size_t replicasWith(std::span<const weight_replica> Replicas,
+                             std::string_view Model, uint64_t Version) {
+    return size_t(std::count_if(
+        Replicas.begin(), Replicas.end(), [&](const weight_replica &Replica) {
+          const auto It = Replica.Versions.find(Model);
+          return It != Replica.Versions.end() && It->second >= Version;
+        }));
+  }
+
 public:
   void loadsOldestFirstAndFewAtATime() {
     auto Replicas = replicas(9, 3);
@@ -159,6 +188,48 @@
       }
     }
   }
+
+  // Guards against a model that no replica follows because its share is less
+  // than one replica, so that its trainer never gets another sample.
+  void loadsEachModelSomewhereWithFewReplicas() {
+    const version_map NewestVersions = {
+        {"m0", 2}, {"m1", 3}, {"m2", 4}, {"m3", 5}};
+    for (size_t Count = 1; Count <= 5; ++Count) {
+      for (const double Demand : {0, 1, 50}) {
+        auto Replicas = replicas(Count, 1);
+        for (weight_replica &Replica : Replicas)
+          Replica.Versions = {{"m0", 1}, {"m1", 1}, {"m2", 1}, {"m3", 1}};
+        const unsigned Loads =
+            loadAll(Replicas, {.Replicas = Replicas,
+                               .NewestVersions = NewestVersions,
+                               .Demand = {{"m2", Demand}, {"m3", 1}}});
+        for (const auto &[Model, Version] : NewestVersions)
+          CPPUNIT_ASSERT_MESSAGE(Model + " on " + std::to_string(Count),
+                                 replicasWith(Replicas, Model, Version) >= 1);
+        // A replica follows several models only if a model needs it.
+        CPPUNIT_ASSERT(Loads <= Count + NewestVersions.size() - 1);
+      }
+    }
+  }
+
+  // Guards against a model whose only replica fails calls, while the replicas
+  // of other models could run its samples.
+  void loadsModelElsewhereDuringBackoff() {
+    const version_map NewestVersions = {{"m0", 4}, {"m1", 4}};
+    for (const size_t Failing : {0, 1}) {
+      auto Replicas = replicas(2, 3);
+      Replicas[Failing].InBackoff = true;
+      loadAll(Replicas,
+              {.Replicas = Replicas, .NewestVersions = NewestVersions});
+      CPPUNIT_ASSERT_EQUAL(size_t(1), replicasWith(Replicas, "m0", 4));
+      CPPUNIT_ASSERT_EQUAL(size_t(1), replicasWith(Replicas, "m1", 4));
+      // Both models have their own replica again.
+      Replicas[Failing].InBackoff = false;
+      CPPUNIT_ASSERT_EQUAL(
+          1U, loadAll(Replicas, {.Replicas = Replicas,
+                                 .NewestVersions = NewestVersions}));
+    }
+  }
 };
 
 CPPUNIT_TEST_SUITE_NAMED_REGISTRATION(weight_plan_test, "weight_plan_test");
