Start items again whose version only draining replicas have

Cause: restartIfVersionGone() took all listed replicas for ones that could continue a text, also draining ones, which get no items. Replicas that have been ordered to change their weights were taken for such ones too. Change: mustRestart(), a pure function beside the placement of items, decides by the replicas that accept work and by the versions that they keep. It keeps a text while no replica could run the item again. The decision follows the check that the list of replicas is current. items_restarted_total counts it.

--- a/jobs/job_scheduler.cpp
+++ b/jobs/job_scheduler.cpp
@@ -418,20 +418,45 @@
              : 0;
 }
 
-/// Discards the text if all of it must come from one version of the weights and
-/// no replica has that version any more.
-void job_scheduler::restartIfVersionGone(item_state &Item) {
-  const uint64_t Version = exactVersion(Item);
-  if (Version == 0)
+waiting_item job_scheduler::describeWaiting(const item_state &Item,
+                                            size_t Index) const {
+  const job_state &Job = *Item.Job;
+  return {.Index = Index,
+          .Model = Job.Job.Model,
+          .MinVersion = Job.Job.MinVersion,
+          .RemainingTokens = remainingTokens(Item),
+          .Spare = Item.Spare,
+          .DueAt = Job.DueAt,
+          .ExactVersion = exactVersion(Item),
+          .AvoidReplica = Item.LastReplica};
+}
+
+/// Discards texts that must come from one version of the weights if no replica
+/// that accepts work can continue them. A draining replica may keep such a
+/// version for a long time; a replica that is changing its weights is about to
+/// lose it. One in backoff may accept work again soon.
+void job_scheduler::restartItemsOfLostVersions(
+    std::span<item_state *const> Items, std::span<waiting_item> Waiting,
+    time_point Now) {
+  if (std::none_of(Waiting.begin(), Waiting.end(),
+                   [](const auto &Item) { return Item.ExactVersion != 0; }))
     return;
-  for (const replica *Replica : Options.Directory.listed(Options.Pool)) {
-    const auto It = Replica->Versions.find(Item.Job->Job.Model);
-    if (It != Replica->Versions.end() && It->second == Version)
-      return;
+  std::vector<const replica *> Accepting =
+      Options.Directory.listed(Options.Pool);
+  std::erase_if(Accepting,
+                [](const replica *Replica) { return Replica->Draining; });
+  const std::vector<replica_capacity> Capacity = capacity(Accepting, Now);
+  for (waiting_item &Entry : Waiting) {
+    if (!mustRestart(Entry, Capacity))
+      continue;
+    item_state &Item = *Items[Entry.Index];
+    logInfo("item_restarted",
+            {{"item", Item.Item->Id},
+             {"version", std::to_string(Entry.ExactVersion)}});
+    metrics::get().counter("items_restarted_total").add();
+    Item.Text = {};
+    Entry = describeWaiting(Item, Entry.Index);
   }
-  logInfo("item_restarted",
-          {{"item", Item.Item->Id}, {"version", std::to_string(Version)}});
-  Item.Text = {};
 }
 
 void job_scheduler::scheduleSoon() {
@@ -465,15 +490,7 @@
         startScoring(*Item);
         continue;
       }
-      restartIfVersionGone(*Item);
-      Waiting.push_back({.Index = Candidates.size(),
-                         .Model = Job->Job.Model,
-                         .MinVersion = Job->Job.MinVersion,
-                         .RemainingTokens = remainingTokens(*Item),
-                         .Spare = Item->Spare,
-                         .DueAt = Job->DueAt,
-                         .ExactVersion = exactVersion(*Item),
-                         .AvoidReplica = Item->LastReplica});
+      Waiting.push_back(describeWaiting(*Item, Candidates.size()));
       Candidates.push_back(Item.get());
     }
   }
@@ -486,6 +503,7 @@
         [this, Guard = makeAliveGuard()] { Guard([&] { scheduleSoon(); }); });
     return;
   }
+  restartItemsOfLostVersions(Candidates, Waiting, Now);
   const std::vector<const replica *> Usable =
       Options.Directory.usable(Options.Pool, Now);
   for (const placed_item &Placed :
--- a/jobs/job_scheduler.h
+++ b/jobs/job_scheduler.h
@@ -195,7 +195,11 @@
   [[nodiscard]] double expectedTokens(const item_state &Item) const;
   [[nodiscard]] double remainingTokens(const item_state &Item) const;
   [[nodiscard]] static uint64_t exactVersion(const item_state &Item);
-  void restartIfVersionGone(item_state &Item);
+  [[nodiscard]] waiting_item describeWaiting(const item_state &Item,
+                                             size_t Index) const;
+  void restartItemsOfLostVersions(std::span<item_state *const> Items,
+                                  std::span<waiting_item> Waiting,
+                                  time_point Now);
   [[nodiscard]] double tokensPerEvent() const;
   std::function<void(const std::function<void()> &)> makeAliveGuard();
   /// Returns a timer whose task does not run after this object is destroyed.
--- a/policy/item_placement.cpp
+++ b/policy/item_placement.cpp
@@ -149,6 +149,20 @@
          It->second == Requirement.ExactVersion;
 }
 
+bool mustRestart(const waiting_item &Item,
+                 std::span<const replica_capacity> Replicas) {
+  if (Item.ExactVersion == 0)
+    return false;
+  const auto AnyServes = [&](const weight_requirement &Requirement) {
+    return std::any_of(Replicas.begin(), Replicas.end(),
+                       [&](const replica_capacity &Replica) {
+                         return serves(Replica, Requirement);
+                       });
+  };
+  return !AnyServes(requirementOf(Item)) &&
+         AnyServes({.Model = Item.Model, .MinVersion = Item.MinVersion});
+}
+
 static std::vector<unsigned>
 freeSlots(std::span<const replica_capacity> Replicas) {
   std::vector<unsigned> FreeSlots;
--- a/policy/item_placement.h
+++ b/policy/item_placement.h
@@ -85,6 +85,13 @@
   size_t Replica = 0;
 };
 
+/// Whether the item, which is bound to the version of its text, must start
+/// again without the text: none of Replicas has that version, and one has
+/// another that the item allows. Replicas are all that accept new work, whether
+/// or not they have free slots.
+[[nodiscard]] bool mustRestart(const waiting_item &Item,
+                               std::span<const replica_capacity> Replicas);
+
 /// How long work takes on a replica now, relative to usual; nullopt = unknown.
 using replica_slowdowns = std::span<const std::optional<double>>;
 
--- a/policy/item_placement_test.cpp
+++ b/policy/item_placement_test.cpp
@@ -18,6 +18,7 @@
   CPPUNIT_TEST(placesSpareGroupsLast);
   CPPUNIT_TEST(longItemOfNextStepGoesBeforeShortOnes);
   CPPUNIT_TEST(skipsReplicasWithOldWeights);
+  CPPUNIT_TEST(restartsItemOnlyWhereItCanRunAgain);
   CPPUNIT_TEST(movesItemOffSlowReplica);
   CPPUNIT_TEST(keepsItemWhereGainIsSmall);
   CPPUNIT_TEST(triesFormerlySlowReplicaAgain);
@@ -95,6 +96,27 @@
     CPPUNIT_ASSERT(Placement.place({Item}, Replicas, Now).empty());
   }
 
+  // Guards against an item that waits for a version that no replica can give it
+  // any more, and against a text that is discarded without need.
+  void restartsItemOnlyWhereItCanRunAgain() {
+    using replicas = std::vector<replica_capacity>;
+    waiting_item Bound = item(0, 100);
+    Bound.ExactVersion = 1;
+    CPPUNIT_ASSERT(mustRestart(Bound, replicas{replica("a", 8, 2)}));
+    CPPUNIT_ASSERT(!mustRestart(
+        Bound, replicas{replica("full", 0, 1), replica("a", 8, 2)}));
+    CPPUNIT_ASSERT(!mustRestart(Bound, replicas{}));
+    waiting_item Newer = Bound;
+    Newer.MinVersion = 3;
+    CPPUNIT_ASSERT(!mustRestart(Newer, replicas{replica("a", 8, 2)}));
+    CPPUNIT_ASSERT(!mustRestart(item(0, 100), replicas{replica("a", 8, 2)}));
+    // While a replica changes its weights, their version is not listed.
+    replica_capacity Changing = replica("changing", 0);
+    Changing.Versions.clear();
+    CPPUNIT_ASSERT(mustRestart(Bound, replicas{Changing, replica("a", 8, 2)}));
+    CPPUNIT_ASSERT(!mustRestart(Bound, replicas{Changing}));
+  }
+
   // Guards against a group that waits for a replica that has become slow.
   void movesItemOffSlowReplica() {
     item_placement Placement({});
