Share a pool's replicas among the models that they have

What callers saw: with two services of engines, half of each one's replicas stayed at version 1. Cause: the store lists the versions of all models, and each pool's weight_updater divided its replicas among all of them. A replica that fell to a model of another service followed none. updateDemand() waited for demand of such models, which never comes, so that shares by demand stayed equal. A replica with only some of its pool's models could be assigned one of the others. Change: trainedModels() leaves out the models that no replica of the pool has; shares and demand are computed from the rest. assignModels() gives a replica only models that it has. The versions that replicas report decide, because a replica can load only those models. Where all replicas have all models, the assignment is as before.

--- a/jobs/weight_updater.cpp
+++ b/jobs/weight_updater.cpp
@@ -62,16 +62,16 @@
   return Models;
 }
 
-void weight_updater::updateDemand(size_t Replicas) {
+void weight_updater::updateDemand(std::span<const weight_replica> Replicas) {
   if (!Options.ModelDemand)
     return;
   const std::map<std::string, double, std::less<>> Present =
       Options.ModelDemand();
   std::vector<double> Old;
   std::vector<double> New;
-  for (const auto &[Model, Version] : TargetVersions) {
-    const auto Find = [&, &Name = Model](const auto &Map) {
-      const auto It = Map.find(Name);
+  for (const std::string &Model : trainedModels(Replicas, TargetVersions)) {
+    const auto Find = [&](const auto &Map) {
+      const auto It = Map.find(Model);
       return It == Map.end() ? 0 : It->second;
     };
     Old.push_back(Find(Demand));
@@ -80,8 +80,8 @@
   // A model without demand may only be between two steps.
   if (New.empty() || std::find(New.begin(), New.end(), 0) != New.end())
     return;
-  const std::vector<size_t> OldQuotas = modelQuotas(Replicas, Old);
-  const std::vector<size_t> NewQuotas = modelQuotas(Replicas, New);
+  const std::vector<size_t> OldQuotas = modelQuotas(Replicas.size(), Old);
+  const std::vector<size_t> NewQuotas = modelQuotas(Replicas.size(), New);
   for (size_t I = 0; I < New.size(); ++I) {
     if (std::max(OldQuotas[I], NewQuotas[I]) -
             std::min(OldQuotas[I], NewQuotas[I]) <=
@@ -114,7 +114,7 @@
     for (const auto &[Model, Version] : Replica->Versions)
       Candidate.Versions[Model] = Version;
   }
-  updateDemand(Replicas.size());
+  updateDemand(Replicas);
   const std::vector<std::string> Postponed = postponedModels(Now);
   const std::vector<weight_change> Planned =
       planWeightChanges({.Replicas = Replicas,
--- a/jobs/weight_updater.h
+++ b/jobs/weight_updater.h
@@ -22,6 +22,7 @@
 #include <map>
 #include <memory>
 #include <optional>
+#include <span>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -84,6 +85,7 @@
   weight_updater(const weight_updater &) = delete;
   weight_updater &operator=(const weight_updater &) = delete;
 
+  /// The model may also belong to another pool.
   void setTargetVersion(const std::string &Model, uint64_t Version);
   [[nodiscard]] bool isChanging(std::string_view Replica,
                                 std::string_view Model) const;
@@ -119,7 +121,7 @@
   [[nodiscard]] std::vector<std::string> postponedModels(time_point Now) const;
   /// Adopts the present demand if it changes the replicas of a model by more
   /// than a single one. Each change costs loads.
-  void updateDemand(size_t Replicas);
+  void updateDemand(std::span<const weight_replica> Replicas);
 
   std::map<std::string, double, std::less<>> Demand;
 
--- a/jobs/weight_updater_test.cpp
+++ b/jobs/weight_updater_test.cpp
@@ -18,6 +18,8 @@
   CPPUNIT_TEST(sendsNoOrderAfterOrderAnswerOfLeavingReplica);
   CPPUNIT_TEST(ignoresAnswersOfAnotherProcess);
   CPPUNIT_TEST(ignoresAnswersToOtherRequests);
+  CPPUNIT_TEST(ordersNewVersionBesideModelsOfOtherServices);
+  CPPUNIT_TEST(sharesByDemandBesideModelsOfOtherServices);
   CPPUNIT_TEST_SUITE_END();
 
   test_environment Env;
@@ -80,33 +82,42 @@
                               answer(Exchange,
                                      IsReport ? ReportsLeaving : OrdersLeave);
                             }});
-    Updater = std::make_unique<weight_updater>(weight_updater_options{
-        .Loop = Env.Loop,
-        .Client = Env.Client,
-        .Directory = Env.Directory,
-        .Gate = Env.Gate,
-        .Protocols = Protocols,
-        .Pool = "s",
-        .Holder = "h",
-        .FencingToken = 1,
-        .MayOrder = [](time_point) { return true; },
-        .RenewLease = [] {},
-        .RunningItemCount = [](std::string_view) { return 0U; },
-        .DrainRunsFirst = [] { return false; },
-        .OnFenced = [] {},
-        .OnVersionChanged = [] {},
-        .ReportInterval = milliseconds(20),
-        .OrderSettleTime = milliseconds(100)});
+    Updater = std::make_unique<weight_updater>(updaterOptions());
   }
 
-  /// Lists the replica and plays the time of several plans and reports.
-  void play(uint64_t StartedAtMs = 1) {
-    Env.Directory.update({.Id = "a",
+  weight_updater_options updaterOptions() {
+    return {.Loop = Env.Loop,
+            .Client = Env.Client,
+            .Directory = Env.Directory,
+            .Gate = Env.Gate,
+            .Protocols = Protocols,
+            .Pool = "s",
+            .Holder = "h",
+            .FencingToken = 1,
+            .MayOrder = [](time_point) { return true; },
+            .RenewLease = [] {},
+            .RunningItemCount = [](std::string_view) { return 0U; },
+            .DrainRunsFirst = [] { return false; },
+            .OnFenced = [] {},
+            .OnVersionChanged = [] {},
+            .ReportInterval = milliseconds(20),
+            .OrderSettleTime = milliseconds(100)};
+  }
+
+  void addReplica(const std::string &Id,
+                  std::map<std::string, uint64_t, std::less<>> Versions,
+                  uint64_t StartedAtMs = 1) {
+    Env.Directory.update({.Id = Id,
                           .Service = "s",
                           .Address = Address,
                           .StartedAtMs = StartedAtMs,
-                          .Versions = {{"m", 1}}},
+                          .Versions = std::move(Versions)},
                          event_loop::now());
+  }
+
+  /// Lists the replica and plays the time of several plans and reports.
+  void play(uint64_t StartedAtMs = 1) {
+    addReplica("a", {{"m", 1}}, StartedAtMs);
     Updater->setTargetVersion("m", 2);
     Env.runFor(milliseconds(900));
   }
@@ -171,6 +182,44 @@
     CPPUNIT_ASSERT_EQUAL(uint64_t(1),
                          Env.Directory.find("a")->Versions.at("m"));
   }
+
+  // Guards against replicas that never get new weights because the store also
+  // lists versions of other services' models (review/6).
+  void ordersNewVersionBesideModelsOfOtherServices() {
+    OrderOutcome = order_outcome::AlreadyLoaded;
+    for (const char *Model : {"a", "b", "y", "z"})
+      Updater->setTargetVersion(Model, 2);
+    addReplica("b", {{"m", 1}});
+    play();
+    CPPUNIT_ASSERT_EQUAL(2U, Orders);
+    for (const char *Id : {"a", "b"})
+      CPPUNIT_ASSERT_EQUAL(uint64_t(2),
+                           Env.Directory.find(Id)->Versions.at("m"));
+  }
+
+  // Guards against shares that stay equal because a model of another service
+  // has no demand in this pool.
+  void sharesByDemandBesideModelsOfOtherServices() {
+    OrderOutcome = order_outcome::AlreadyLoaded;
+    weight_updater_options Options = updaterOptions();
+    Options.ModelDemand = [] {
+      return std::map<std::string, double, std::less<>>{{"m", 100}, {"n", 1}};
+    };
+    Updater = std::make_unique<weight_updater>(std::move(Options));
+    for (unsigned I = 0; I < 8; ++I)
+      addReplica(std::to_string(I), {{"m", 1}, {"n", 1}});
+    for (const char *Model : {"m", "n", "z"})
+      Updater->setTargetVersion(Model, 2);
+    for (unsigned I = 0; I < 50 && Orders < 8; ++I)
+      Env.runFor(milliseconds(100));
+    Env.runFor(milliseconds(300));
+    CPPUNIT_ASSERT_EQUAL(8U, Orders);
+    unsigned UpdatedM = 0;
+    for (unsigned I = 0; I < 8; ++I)
+      UpdatedM +=
+          Env.Directory.find(std::to_string(I))->Versions.at("m") == 2 ? 1 : 0;
+    CPPUNIT_ASSERT_EQUAL(6U, UpdatedM);
+  }
 };
 
 CPPUNIT_TEST_SUITE_NAMED_REGISTRATION(weight_updater_test,
--- a/policy/weight_plan.cpp
+++ b/policy/weight_plan.cpp
@@ -43,33 +43,64 @@
   return Quotas;
 }
 
+std::vector<std::string> trainedModels(
+    std::span<const weight_replica> Replicas,
+    const std::map<std::string, uint64_t, std::less<>> &NewestVersions) {
+  std::set<std::string_view> Present;
+  for (const weight_replica &Replica : Replicas)
+    for (const auto &[Model, Version] : Replica.Versions)
+      Present.insert(Model);
+  std::vector<std::string> Models;
+  for (const auto &[Model, Version] : NewestVersions)
+    if (Present.contains(Model))
+      Models.push_back(Model);
+  return Models;
+}
+
 std::vector<std::string> assignModels(std::span<const weight_replica> Replicas,
                                       std::span<const std::string> Models,
                                       std::span<const size_t> Quotas) {
   struct preference {
+    /// Number of models among which the replica can choose.
+    size_t Choices;
     uint64_t Score;
     size_t Replica;
     size_t Model;
   };
   std::vector<preference> Preferences;
-  for (size_t R = 0; R < Replicas.size(); ++R)
+  for (size_t R = 0; R < Replicas.size(); ++R) {
+    const auto Has = [&](const std::string &Model) {
+      return Replicas[R].Versions.contains(Model);
+    };
+    const auto Choices =
+        size_t(std::count_if(Models.begin(), Models.end(), Has));
     for (size_t M = 0; M < Models.size(); ++M)
-      Preferences.push_back(
-          {.Score = rendezvousScore(Replicas[R].Id, Models[M]),
-           .Replica = R,
-           .Model = M});
+      if (Has(Models[M]))
+        Preferences.push_back(
+            {.Choices = Choices,
+             .Score = rendezvousScore(Replicas[R].Id, Models[M]),
+             .Replica = R,
+             .Model = M});
+  }
+  // Replicas with few models choose first, because the others have
+  // alternatives.
   std::sort(Preferences.begin(), Preferences.end(),
             [](const preference &A, const preference &B) {
-              return A.Score > B.Score;
+              return std::tuple(A.Choices, B.Score) <
+                     std::tuple(B.Choices, A.Score);
             });
   std::vector<size_t> AssignedCount(Models.size());
   std::vector<std::string> Assigned(Replicas.size());
-  for (const preference &Preference : Preferences) {
-    if (!Assigned[Preference.Replica].empty() ||
-        AssignedCount[Preference.Model] == Quotas[Preference.Model])
-      continue;
-    ++AssignedCount[Preference.Model];
-    Assigned[Preference.Replica] = Models[Preference.Model];
+  // The second pass is for replicas whose models have all filled their quotas.
+  for (const bool WithinQuotas : {true, false}) {
+    for (const preference &Preference : Preferences) {
+      size_t &Count = AssignedCount[Preference.Model];
+      if (!Assigned[Preference.Replica].empty() ||
+          (WithinQuotas && Count == Quotas[Preference.Model]))
+        continue;
+      ++Count;
+      Assigned[Preference.Replica] = Models[Preference.Model];
+    }
   }
   return Assigned;
 }
@@ -91,6 +122,8 @@
   std::vector<std::set<std::string_view>> Followed(Replicas.size());
   std::set<std::string_view> Loadable;
   for (size_t R = 0; R < Replicas.size(); ++R) {
+    if (Assigned[R].empty())
+      continue;
     Followed[R].insert(Assigned[R]);
     if (canLoad(Replicas[R], Assigned[R]))
       Loadable.insert(Assigned[R]);
@@ -116,9 +149,8 @@
   const auto MaxLoads =
       std::max<long>(1, std::lround(Input.MaxConcurrentFraction *
                                     double(Input.Replicas.size())));
-  std::vector<std::string> Models;
-  for (const auto &[Model, Version] : Input.NewestVersions)
-    Models.push_back(Model);
+  const std::vector<std::string> Models =
+      trainedModels(Input.Replicas, Input.NewestVersions);
   if (Models.empty())
     return {};
   std::vector<double> Demand;
--- a/policy/weight_plan.h
+++ b/policy/weight_plan.h
@@ -9,9 +9,10 @@
 /// Trainers announce a version every few seconds, and concurrent loads slow
 /// each other down. If several models are trained, each gets a share of the
 /// replicas, and only these follow its versions, so that a version is in use
-/// after fewer loads. A model whose share is less than one replica, or whose
-/// replicas are all in backoff, is followed by a replica of another model as
-/// well. A bounded number of replicas load at a time, those with the oldest
+/// after fewer loads. A model that no replica has, such as one of another
+/// service, gets no share. A model whose share is less than one replica, or
+/// whose replicas are all in backoff, is followed by a replica of another model
+/// as well. A bounded number of replicas load at a time, those with the oldest
 /// weights first. Each loads the newest version and skips the versions in
 /// between. Pure functions; O(models x replicas x log replicas).
 
@@ -30,7 +31,7 @@
 
 struct weight_replica {
   std::string_view Id;
-  /// Observed weight version by model.
+  /// Observed weight version by model. The replica cannot load other models.
   std::map<std::string_view, uint64_t> Versions;
   /// Whether a load order is in progress or its outcome is not known yet.
   bool OrderPending = false;
@@ -68,9 +69,16 @@
 std::vector<size_t> modelQuotas(size_t Replicas,
                                 std::span<const double> Demand);
 
+/// Returns the models of NewestVersions that at least one of Replicas has.
+std::vector<std::string> trainedModels(
+    std::span<const weight_replica> Replicas,
+    const std::map<std::string, uint64_t, std::less<>> &NewestVersions);
+
 /// Returns the model whose versions each replica follows, Quotas[I] replicas
-/// for Models[I] in total. Few replicas change their model when one is added or
-/// removed. The sum of Quotas must not be below the number of Replicas.
+/// for Models[I] in total, or more if they have no other of Models. It is empty
+/// for a replica that has none of them. Few replicas change their model when
+/// one is added or removed. The sum of Quotas must not be below the number of
+/// Replicas.
 std::vector<std::string> assignModels(std::span<const weight_replica> Replicas,
                                       std::span<const std::string> Models,
                                       std::span<const size_t> Quotas);
--- a/policy/weight_plan_test.cpp
+++ b/policy/weight_plan_test.cpp
@@ -17,6 +17,8 @@
   CPPUNIT_TEST(keepsUpWithTrainers);
   CPPUNIT_TEST(loadsEachModelSomewhereWithFewReplicas);
   CPPUNIT_TEST(loadsModelElsewhereDuringBackoff);
+  CPPUNIT_TEST(modelsOfOtherServicesGetNoShare);
+  CPPUNIT_TEST(replicasFollowModelsThatTheyHave);
   CPPUNIT_TEST_SUITE_END();
 
   using version_map = std::map<std::string, uint64_t, std::less<>>;
@@ -230,6 +232,38 @@
                                  .NewestVersions = NewestVersions}));
     }
   }
+
+  // Guards against replicas that stay at their first weights because they are
+  // assigned a model of another service.
+  void modelsOfOtherServicesGetNoShare() {
+    auto Replicas = replicas(8, 1);
+    for (weight_replica &Replica : Replicas)
+      Replica.Versions.erase("m1");
+    const version_map NewestVersions = {{"a0", 9}, {"m0", 2}, {"m1", 9}};
+    CPPUNIT_ASSERT(trainedModels(Replicas, NewestVersions) ==
+                   std::vector<std::string>{"m0"});
+    CPPUNIT_ASSERT_EQUAL(8U,
+                         loadAll(Replicas, {.Replicas = Replicas,
+                                            .NewestVersions = NewestVersions,
+                                            .Demand = {{"m1", 100}}}));
+    CPPUNIT_ASSERT_EQUAL(size_t(8), replicasWith(Replicas, "m0", 2));
+  }
+
+  // Guards against a model that loses its only replicas to another model that
+  // has many.
+  void replicasFollowModelsThatTheyHave() {
+    auto Replicas = replicas(8, 1);
+    for (size_t I = 0; I < 6; ++I)
+      Replicas[I].Versions.erase("m1");
+    Replicas[7].Versions.clear();
+    const std::vector<std::string> Models = {"m0", "m1"};
+    const auto Assigned =
+        assignModels(Replicas, Models, std::vector<size_t>{4, 4});
+    for (size_t I = 0; I < 6; ++I)
+      CPPUNIT_ASSERT_EQUAL(std::string("m0"), Assigned[I]);
+    CPPUNIT_ASSERT_EQUAL(std::string("m1"), Assigned[6]);
+    CPPUNIT_ASSERT(Assigned[7].empty());
+  }
 };
 
 CPPUNIT_TEST_SUITE_NAMED_REGISTRATION(weight_plan_test, "weight_plan_test");
