Start no gateway of a review case while it is ended

Cause: the thread that starts a gateway again could do so right after the case had ended it, and leave a process behind. Not seen to happen. Change: a lock around both.

--- a/review/stage3.py
+++ b/review/stage3.py
@@ -88,6 +88,8 @@
         self.log = pathlib.Path(stage.folder.name) / (name + ".log")
         self.own_ends = 0
         self.wanted = True
+        # So that no process is started while or after the gateway is ended.
+        self.lock = threading.Lock()
         self.start()
         threading.Thread(target=self.keep_running, daemon=True).start()
 
@@ -102,14 +104,16 @@
                 self.own_ends += 1
                 self.stage.note("%s has ended with code %s and is started again" % (self.name, code))
                 time.sleep(self.RESTART_DELAY_S)
-                if self.wanted:
-                    self.start()
+                with self.lock:
+                    if self.wanted:
+                        self.start()
             time.sleep(0.02)
 
     def end(self):
-        self.wanted = False
-        self.process.kill()
-        self.process.wait()
+        with self.lock:
+            self.wanted = False
+            self.process.kill()
+            self.process.wait()
 
     def request(self, method, path, body=None, headers=None, port=None, timeout=10):
         connection = http.client.HTTPConnection("127.0.0.1", port or self.front, timeout=timeout)
