Find an open job beside a route that matches its calls

Cause: request_handler took a call for one on a job only if the host has routes for jobs or no route at all matches, whether the job exists or not. Change: on a host without routes for jobs, the job has precedence if it exists, else the route gets the request. job_host_registry tells which hosts have had jobs, from the configurations seen or an object in the store, so that other hosts need no store call for each request. Why it works: the store, not the configuration, says whether a job exists; the record of a host is written before its first job is accepted.

--- a/gateway/protocols.h
+++ b/gateway/protocols.h
@@ -147,6 +147,8 @@
   std::function<std::optional<job_call>(const http_request &)> DecodeJobCall;
   /// Throws std::invalid_argument that names the malformed field.
   std::function<job(std::string_view Document)> DecodeJob;
+  /// Cheap check; false = DecodeJob would throw for the document.
+  std::function<bool(std::string_view Document)> MayBeJob;
   std::function<std::string(const result_page &)> EncodeResults;
   /// Name of the event field that carries the weight version.
   std::string EventVersionField;
--- a/gateway/route_table.cpp
+++ b/gateway/route_table.cpp
@@ -4,7 +4,7 @@
 
 namespace cardamom {
 
-static std::string hostName(std::string_view Host) {
+std::string hostName(std::string_view Host) {
   std::string Name(Host.substr(0, Host.find(':')));
   for (char &C : Name)
     C = char(std::tolower(static_cast<unsigned char>(C)));
--- a/gateway/route_table.h
+++ b/gateway/route_table.h
@@ -21,6 +21,9 @@
 
 namespace cardamom {
 
+/// Returns the name in a Host header, in lower case and without the port.
+std::string hostName(std::string_view Host);
+
 class route_table {
 public:
   explicit route_table(std::span<const route> Routes);
--- a/jobs/job_cache.cpp
+++ b/jobs/job_cache.cpp
@@ -26,7 +26,7 @@
         if (Weak.expired())
           return;
         if (Reply.Outcome == object_outcome::NotFound) {
-          Done(job_cache_status::NotFound, nullptr);
+          Done(job_cache_status::NoSuchJob, nullptr);
           return;
         }
         if (Reply.Outcome != object_outcome::Done || Reply.Objects.empty()) {
@@ -145,7 +145,7 @@
     if (auto Body = findItemBody(Entry->Job, ItemId))
       Done({.Status = job_cache_status::Found, .Body = std::move(*Body)});
     else
-      Done({.Status = job_cache_status::NotFound, .Body = {}});
+      Done({.Status = job_cache_status::NoSuchItem, .Body = {}});
   });
 }
 
--- a/jobs/job_cache.h
+++ b/jobs/job_cache.h
@@ -24,7 +24,7 @@
 
 namespace cardamom {
 
-enum class job_cache_status { Found, NotFound, Unavailable };
+enum class job_cache_status { Found, NoSuchJob, NoSuchItem, Unavailable };
 
 struct job_cache_reply {
   job_cache_status Status = job_cache_status::Unavailable;
--- /dev/null
+++ b/jobs/job_host_registry.cpp
@@ -0,0 +1,91 @@
+#include "jobs/job_host_registry.h"
+
+#include "base/log.h"
+#include "gateway/route_table.h"
+
+namespace cardamom {
+
+job_host_registry::job_host_registry(job_host_registry_options Options)
+    : Options(std::move(Options)) {}
+
+void job_host_registry::add(std::string_view Host) {
+  HostsWithJobs.insert(hostName(Host));
+}
+
+std::optional<object_request>
+job_host_registry::missingRecord(std::string_view Host) const {
+  const std::string Name = hostName(Host);
+  if (RecordedHosts.contains(Name))
+    return std::nullopt;
+  return object_request{.Op = object_op::Create,
+                        .Kind = Options.Kind,
+                        .Name = Name,
+                        .Value = nlohmann::json::object()};
+}
+
+void job_host_registry::onRecorded(std::string_view Host) {
+  add(Host);
+  RecordedHosts.insert(hostName(Host));
+}
+
+void job_host_registry::find(std::string_view Host, time_point Now,
+                             find_callback Done) {
+  const std::string Name = hostName(Host);
+  if (HostsWithJobs.contains(Name)) {
+    Done(job_host_status::HasJobs);
+    return;
+  }
+  const auto Miss = Misses.find(Name);
+  const bool Reachable = Options.Store.reachable();
+  // While the store cannot be asked, the last answer counts, so that other
+  // services of the host stay available.
+  if (Miss != Misses.end() &&
+      (!Reachable || Now - Miss->second < Options.MissMaxAge)) {
+    Done(job_host_status::NoJobs);
+    return;
+  }
+  if (!Reachable) {
+    Done(job_host_status::Unavailable);
+    return;
+  }
+  std::vector<find_callback> &Calls = Waiting[Name];
+  Calls.push_back(std::move(Done));
+  if (Calls.size() > 1)
+    return;
+  Options.Store.call({.Op = object_op::Get, .Kind = Options.Kind, .Name = Name},
+                     [this, Weak = std::weak_ptr<bool>(Alive), Name,
+                      Now](const object_reply &Reply) {
+                       if (!Weak.expired())
+                         onRead(Name, Now, Reply);
+                     });
+}
+
+void job_host_registry::onRead(const std::string &Host, time_point SentAt,
+                               const object_reply &Reply) {
+  job_host_status Status = job_host_status::Unavailable;
+  switch (Reply.Outcome) {
+  case object_outcome::Done:
+    Status = job_host_status::HasJobs;
+    onRecorded(Host);
+    break;
+  case object_outcome::NotFound:
+  // No object can have a name that the store rejects.
+  case object_outcome::Invalid:
+    Status = job_host_status::NoJobs;
+    if (Misses.size() >= Options.MaxMisses)
+      Misses.clear();
+    Misses[Host] = SentAt;
+    break;
+  default:
+    if (Misses.contains(Host))
+      Status = job_host_status::NoJobs;
+    break;
+  }
+  logInfo("job_host_read",
+          {{"host", Host}, {"outcome", std::string(toString(Reply.Outcome))}});
+  auto Calls = Waiting.extract(Host);
+  for (const find_callback &Done : Calls.mapped())
+    Done(Status);
+}
+
+} // namespace cardamom
--- a/jobs/job_request_handler.cpp
+++ b/jobs/job_request_handler.cpp
@@ -43,10 +43,14 @@
   /// Whether the call is a submission whose outcome is unknown: it may have
   /// been stored, or may be stored later.
   bool MayBeStored = false;
+  /// See job_request_handler::call().
+  std::function<void()> OnUnknown;
 };
 
 struct job_request_handler::submission {
   pending_call_ptr Pending;
+  /// Record of the job's host, to be created first; absent = it exists.
+  std::optional<object_request> HostRecord;
   object_request Request;
   time_point StartedAt;
   timer_handle RetryTimer;
@@ -75,7 +79,16 @@
              .Store = this->Options.Store,
              .Protocols = this->Options.Protocols,
              .JobKind = this->Options.JobKind,
-             .ResultKind = this->Options.ResultKind}) {}
+             .ResultKind = this->Options.ResultKind}),
+      Hosts({.Store = this->Options.Store, .Kind = this->Options.HostKind}) {}
+
+void job_request_handler::answerUnknown(const pending_call_ptr &Pending) {
+  if (Pending->OnUnknown)
+    Pending->OnUnknown();
+  else
+    answer(Pending->Exchange, StatusNotFound, errorBody("no such job"),
+           JsonContentType);
+}
 
 void job_request_handler::answerUnavailable(const pending_call_ptr &Pending,
                                             std::string_view Reason) {
@@ -159,6 +172,11 @@
   callGateway(Address, Request, Pending->Call.Wait + Options.ForwardTimeout,
               [this, Pending, Reason = std::string(Reason)](
                   const call_completion &End, http_response Response) {
+                if (End.Result == call_result::Complete &&
+                    Response.Status == StatusNotFound && Pending->OnUnknown) {
+                  Pending->OnUnknown();
+                  return;
+                }
                 if (End.Result == call_result::Complete &&
                     Response.Status != StatusUnavailable) {
                   Response.Headers.removeHopByHopHeaders();
@@ -199,34 +217,55 @@
     forward(Pending, "store_lost");
     return;
   }
+  const std::string Host(Exchange->request().Headers.get("Host"));
   auto Submission = std::make_shared<submission>();
   Submission->Pending = Pending;
   Submission->StartedAt = event_loop::now();
+  Submission->HostRecord = Hosts.missingRecord(Host);
   Submission->Request = {
       .Op = object_op::Create,
       .Kind = Options.JobKind,
       .Name = Pending->JobId,
-      .Value = encodeJobDocument(
-          {.Host = std::string(Exchange->request().Headers.get("Host")),
-           .Target = Exchange->request().Target,
-           .Pool = Pool,
-           .Owner = Caller.Tenant,
-           .SubmittedAtMs = Options.UnixNow(),
-           .Terms = termsOf(Route),
-           .Submission = Exchange->request().Body})};
-  create(Submission);
+      .Value = encodeJobDocument({.Host = Host,
+                                  .Target = Exchange->request().Target,
+                                  .Pool = Pool,
+                                  .Owner = Caller.Tenant,
+                                  .SubmittedAtMs = Options.UnixNow(),
+                                  .Terms = termsOf(Route),
+                                  .Submission = Exchange->request().Body})};
+  write(Submission);
 }
 
-void job_request_handler::create(
-    const std::shared_ptr<submission> &Submission) {
-  Options.Store.call(Submission->Request,
-                     [this, Weak = std::weak_ptr<bool>(Alive),
-                      Submission](const object_reply &Reply) {
-                       if (!Weak.expired())
+void job_request_handler::write(const std::shared_ptr<submission> &Submission) {
+  const bool RecordsHost = Submission->HostRecord.has_value();
+  Options.Store.call(RecordsHost ? *Submission->HostRecord
+                                 : Submission->Request,
+                     [this, Weak = std::weak_ptr<bool>(Alive), Submission,
+                      RecordsHost](const object_reply &Reply) {
+                       if (Weak.expired())
+                         return;
+                       if (RecordsHost)
+                         onHostRecorded(Submission, Reply);
+                       else
                          onCreated(Submission, Reply);
                      });
 }
 
+void job_request_handler::onHostRecorded(
+    const std::shared_ptr<submission> &Submission, const object_reply &Reply) {
+  const std::string &Host = Submission->HostRecord->Name;
+  logInfo("job_host_recorded",
+          {{"host", Host}, {"outcome", std::string(toString(Reply.Outcome))}});
+  if (Reply.Outcome != object_outcome::Done &&
+      Reply.Outcome != object_outcome::Conflict) {
+    retryWrite(Submission);
+    return;
+  }
+  Hosts.onRecorded(Host);
+  Submission->HostRecord.reset();
+  write(Submission);
+}
+
 void job_request_handler::onCreated(
     const std::shared_ptr<submission> &Submission, const object_reply &Reply) {
   const pending_call_ptr &Pending = Submission->Pending;
@@ -256,16 +295,21 @@
   case object_outcome::TooLarge:
     break;
   }
+  retryWrite(Submission);
+}
+
+void job_request_handler::retryWrite(
+    const std::shared_ptr<submission> &Submission) {
   const bool InTime =
       event_loop::now() - Submission->StartedAt < Options.SubmitTimeout;
   if (!InTime || !Options.Store.reachable()) {
-    forward(Pending, "store_lost");
+    forward(Submission->Pending, "store_lost");
     return;
   }
   Submission->RetryTimer =
       Options.Loop.after(SubmitRetryDelay, [this, Submission] {
         const timer_handle Timer = std::move(Submission->RetryTimer);
-        create(Submission);
+        write(Submission);
       });
 }
 
@@ -334,16 +378,28 @@
   Pending->JobId = qualifiedJobId(Caller.Tenant, RequestId);
   Pending->Pools = Options.KnownPools();
   Pending->Caller = Caller;
+  Pending->OnUnknown = std::move(OnUnknown);
   // Unless the store says otherwise.
   Pending->MayBeStored = true;
-  if (!Options.Store.reachable()) {
-    forward(Pending, "store_lost");
-    return;
-  }
+  Hosts.find(Exchange->request().Headers.get("Host"), event_loop::now(),
+             [this, Weak = std::weak_ptr<bool>(Alive),
+              Pending](job_host_status Status) {
+               if (Weak.expired())
+                 return;
+               if (Status == job_host_status::NoJobs)
+                 answerUnknown(Pending);
+               else if (!Options.Store.reachable())
+                 forward(Pending, "store_lost");
+               else
+                 findSubmission(Pending);
+             });
+}
+
+void job_request_handler::findSubmission(const pending_call_ptr &Pending) {
   Options.Store.call(
       {.Op = object_op::Get, .Kind = Options.JobKind, .Name = Pending->JobId},
-      [this, Weak = std::weak_ptr<bool>(Alive), Pending,
-       OnUnknown = std::move(OnUnknown)](const object_reply &Reply) {
+      [this, Weak = std::weak_ptr<bool>(Alive),
+       Pending](const object_reply &Reply) {
         if (Weak.expired())
           return;
         const http_request &Submission = Pending->Exchange->request();
@@ -357,7 +413,7 @@
           answer(Pending->Exchange, StatusAccepted, "{}", JsonContentType);
         else if (Reply.Outcome == object_outcome::Done ||
                  Reply.Outcome == object_outcome::NotFound)
-          OnUnknown();
+          answerUnknown(Pending);
         else
           forward(Pending, "store_lost");
       });
@@ -370,7 +426,8 @@
 
 void job_request_handler::call(const exchange_ptr &Exchange, job_call Call,
                                std::vector<std::string> Pools,
-                               const job_caller &Caller) {
+                               const job_caller &Caller,
+                               std::function<void()> OnUnknown) {
   Call.JobId = qualifiedJobId(Caller.Tenant, Call.JobId);
   auto Pending = std::make_shared<pending_call>();
   Pending->Exchange = Exchange;
@@ -378,6 +435,27 @@
   Pending->Call = std::move(Call);
   Pending->Pools = Pools.empty() ? Options.KnownPools() : std::move(Pools);
   Pending->Caller = Caller;
+  Pending->OnUnknown = std::move(OnUnknown);
+  Hosts.find(Pending->Call.Host, event_loop::now(),
+             [this, Weak = std::weak_ptr<bool>(Alive),
+              Pending](job_host_status Status) {
+               if (Weak.expired())
+                 return;
+               switch (Status) {
+               case job_host_status::HasJobs:
+                 startCall(Pending);
+                 return;
+               case job_host_status::NoJobs:
+                 answerUnknown(Pending);
+                 return;
+               case job_host_status::Unavailable:
+                 forward(Pending, "store_lost");
+                 return;
+               }
+             });
+}
+
+void job_request_handler::startCall(const pending_call_ptr &Pending) {
   switch (Pending->Call.Kind) {
   case job_call_kind::ReadResults:
     readResults(Pending);
@@ -398,8 +476,11 @@
   case job_cache_status::Found:
     answer(Pending->Exchange, StatusOk, Reply.Body, ContentType);
     return;
-  case job_cache_status::NotFound:
-    answer(Pending->Exchange, StatusNotFound, errorBody("no such job or item"),
+  case job_cache_status::NoSuchJob:
+    answerUnknown(Pending);
+    return;
+  case job_cache_status::NoSuchItem:
+    answer(Pending->Exchange, StatusNotFound, errorBody("no such item"),
            JsonContentType);
     return;
   case job_cache_status::Unavailable:
@@ -540,8 +621,7 @@
           answer(Pending->Exchange, StatusOk, "{}", JsonContentType);
           notifySchedulers(Pending->JobId, Pending->Pools);
         } else if (Reply.Outcome == object_outcome::NotFound) {
-          answer(Pending->Exchange, StatusNotFound, errorBody("no such job"),
-                 JsonContentType);
+          answerUnknown(Pending);
         } else {
           forward(Pending, "store_lost");
         }
--- a/jobs/job_request_handler.h
+++ b/jobs/job_request_handler.h
@@ -5,14 +5,15 @@
 ///
 /// Usage:
 ///   job_request_handler Handler({...});
-///   Handler.submit(Exchange, Route, RequestId, /*Forwarded=*/false);
-///   Handler.call(Exchange, JobCall, Pools, /*Forwarded=*/false);
+///   Handler.submit(Exchange, Route, RequestId, {.Tenant = ...});
+///   Handler.call(Exchange, JobCall, Pools, {.Tenant = ...}, OnUnknown);
 
 #ifndef CARDAMOM_JOBS_JOB_REQUEST_HANDLER_H
 #define CARDAMOM_JOBS_JOB_REQUEST_HANDLER_H
 
 #include "http/http_server.h"
 #include "jobs/job_cache.h"
+#include "jobs/job_host_registry.h"
 
 #include <functional>
 #include <map>
@@ -33,6 +34,8 @@
   const gateway_protocols &Protocols;
   std::string JobKind;
   std::string ResultKind;
+  /// Kind of the objects of job_host_registry.
+  std::string HostKind;
   /// Returns null if this gateway does not know the pool.
   std::function<pool_leadership *(const std::string &Pool)> FindPool;
   /// Names of all pools that this gateway knows.
@@ -70,21 +73,26 @@
 public:
   explicit job_request_handler(job_request_handler_options Options);
 
+  /// Records that the configuration accepts jobs on the host.
+  void addJobHost(std::string_view Host) { Hosts.add(Host); }
   /// Caller.Forwarded: the call comes from another gateway and must not be
   /// forwarded again.
   void submit(const exchange_ptr &Exchange, const route &Route,
               const std::string &RequestId, const job_caller &Caller);
-  /// Responds to a submission that no route matches: accepted if the store has
-  /// this job from the same host, that is, if it was accepted while the route
-  /// existed. Calls OnUnknown if it has not, or if the body is no job.
+  /// Responds to a request that no route for jobs matches, but that may repeat
+  /// the submission of a job: accepted if the store has this job from the same
+  /// host, that is, if it was accepted while its route existed. Calls OnUnknown
+  /// if it has not, or if the body is no job.
   void confirmSubmission(const exchange_ptr &Exchange,
                          const std::string &RequestId, const job_caller &Caller,
                          std::function<void()> OnUnknown);
   /// Pools: services of the rollout routes on the call's host. If there is no
   /// such route any more, the job may belong to any pool. Call.JobId is the id
-  /// that the caller sent.
+  /// that the caller sent. Calls OnUnknown instead of responding if there is no
+  /// such job; null = responds with 404.
   void call(const exchange_ptr &Exchange, job_call Call,
-            std::vector<std::string> Pools, const job_caller &Caller);
+            std::vector<std::string> Pools, const job_caller &Caller,
+            std::function<void()> OnUnknown);
   /// Reads results from the store for another gateway, without waiting for
   /// further ones. Done gets null if they cannot be read. Readers at all
   /// gateways ask the scheduler's gateway, so that each batch is fetched once.
@@ -99,9 +107,16 @@
   struct pending_call;
   using pending_call_ptr = std::shared_ptr<pending_call>;
 
-  void create(const std::shared_ptr<submission> &Submission);
+  /// Sends the submission's next write to the store.
+  void write(const std::shared_ptr<submission> &Submission);
+  void onHostRecorded(const std::shared_ptr<submission> &Submission,
+                      const object_reply &Reply);
   void onCreated(const std::shared_ptr<submission> &Submission,
                  const object_reply &Reply);
+  void retryWrite(const std::shared_ptr<submission> &Submission);
+  void findSubmission(const pending_call_ptr &Pending);
+  void startCall(const pending_call_ptr &Pending);
+  void answerUnknown(const pending_call_ptr &Pending);
   /// Tells the pool's scheduler of an accepted job.
   void notifyScheduler(const submission &Submission, uint64_t Revision);
   void readResults(const pending_call_ptr &Pending);
@@ -131,6 +146,7 @@
 
   job_request_handler_options Options;
   job_cache Cache;
+  job_host_registry Hosts;
   /// Last time at which none of the gateways to which a call was forwarded
   /// could serve it.
   time_point AllUnavailableAt{};
--- a/server/gateway.cpp
+++ b/server/gateway.cpp
@@ -32,6 +32,7 @@
 
 static constexpr std::string_view JobKind = "jobs";
 static constexpr std::string_view ResultKind = "job-results";
+static constexpr std::string_view JobHostKind = "job-hosts";
 static constexpr std::string_view LeaseKind = "pool-leases";
 static constexpr std::string_view GatewayKind = "gateways";
 /// Election of the gateway that carries out the platform's duties.
@@ -224,6 +225,7 @@
            .Protocols = Options.Protocols,
            .JobKind = std::string(JobKind),
            .ResultKind = std::string(ResultKind),
+           .HostKind = std::string(JobHostKind),
            .FindPool =
                [this](const std::string &Pool) { return findPool(Pool); },
            .KnownPools =
--- a/server/request_handler.cpp
+++ b/server/request_handler.cpp
@@ -47,6 +47,9 @@
   Config = NewConfig;
   Routes = std::make_unique<route_table>(Config.Routes);
   CallerGate.install(Config);
+  for (const route &Route : Config.Routes)
+    if (Route.Kind == route_kind::Rollout)
+      Options.JobHandler.addJobHost(Route.Host);
   logInfo("config_installed",
           {{"version", std::to_string(Config.Version)},
            {"routes", std::to_string(Config.Routes.size())}});
@@ -161,32 +164,31 @@
 }
 
 /// The gateway that forwarded the call has admitted the caller.
-static caller_identity forwardedIdentity(const http_request &Message) {
+static caller_identity forwardedIdentity(const inbound_request &Request) {
   return {.Tenant = percentDecode(
-              std::string(Message.Headers.get(InnerTenantHeader)))};
+              Request.UpstreamRequest.Headers.get(InnerTenantHeader))};
 }
 
 std::optional<caller_identity>
 request_handler::admit(const exchange_ptr &Exchange, const route &Route,
                        const inbound_request &Request, bool Forwarded) {
   if (Forwarded)
-    return forwardedIdentity(Exchange->request());
+    return forwardedIdentity(Request);
   return checkAdmission(Exchange, Request.UpstreamRequest.RequestId,
                         CallerGate.admit(Route, Request.ApiKey,
                                          Options.ConfigConfirmedAt(),
                                          event_loop::now()));
 }
 
-std::optional<caller_identity>
-request_handler::admitJobCall(const exchange_ptr &Exchange,
-                              std::span<const route *const> JobRoutes,
-                              const inbound_request &Request, bool Forwarded) {
+caller_admission
+request_handler::admitJobCall(std::span<const route *const> JobRoutes,
+                              const inbound_request &Request,
+                              bool Forwarded) const {
   if (Forwarded)
-    return forwardedIdentity(Exchange->request());
-  return checkAdmission(Exchange, Request.UpstreamRequest.RequestId,
-                        CallerGate.admitJobCall(JobRoutes, Request.ApiKey,
-                                                Options.ConfigConfirmedAt(),
-                                                event_loop::now()));
+    return forwardedIdentity(Request);
+  return CallerGate.admitJobCall(JobRoutes, Request.ApiKey,
+                                 Options.ConfigConfirmedAt(),
+                                 event_loop::now());
 }
 
 bool request_handler::handleJobCall(const exchange_ptr &Exchange,
@@ -204,16 +206,30 @@
           Pools.end())
         Pools.push_back(Candidate.Service);
   // An accepted job outlives its route, so its calls need none. On a host
-  // without routes for jobs, a route that matches the path has precedence.
-  if (Pools.empty() && findRoute(Call->Host, Exchange->request().Target))
+  // without routes for jobs, another route may match the path as well; it gets
+  // the call if there is no such job. The gateway that forwarded a call applies
+  // the route itself.
+  const bool OtherRoute =
+      Pools.empty() && !Forwarded &&
+      findRoute(Call->Host, Exchange->request().Target) != nullptr;
+  caller_admission Admission = admitJobCall(JobRoutes, Request, Forwarded);
+  if (OtherRoute && std::holds_alternative<caller_rejection>(Admission))
     return false;
-  const auto Caller = admitJobCall(Exchange, JobRoutes, Request, Forwarded);
+  const auto Caller = checkAdmission(
+      Exchange, Request.UpstreamRequest.RequestId, std::move(Admission));
   if (!Caller)
     return true;
-  if (!rejectIfStopping(Exchange, Request.UpstreamRequest.RequestId,
-                        Options.JobHandler.timeLimit(Call->Wait)))
-    Options.JobHandler.call(Exchange, *Call, std::move(Pools),
-                            {.Tenant = Caller->Tenant, .Forwarded = Forwarded});
+  if (rejectIfStopping(Exchange, Request.UpstreamRequest.RequestId,
+                       Options.JobHandler.timeLimit(Call->Wait)))
+    return true;
+  std::function<void()> OnUnknown;
+  if (OtherRoute)
+    OnUnknown = [this, Exchange, Request] {
+      handleByRoute(Exchange, Request, /*Forwarded=*/false);
+    };
+  Options.JobHandler.call(Exchange, *Call, std::move(Pools),
+                          {.Tenant = Caller->Tenant, .Forwarded = Forwarded},
+                          std::move(OnUnknown));
   return true;
 }
 
@@ -234,51 +250,70 @@
       return;
     const route *Route =
         findRoute(Request.UpstreamRequest.Host, Message.Target);
-    if (!Route) {
-      handleUnrouted(Exchange, Request, Forwarded);
-      return;
-    }
-    const auto Caller = admit(Exchange, *Route, Request, Forwarded);
-    if (!Caller)
-      return;
-    if (rejectIfStopping(Exchange, Id, timeLimit(*Route, Request)))
-      return;
-    if (Route->Kind == route_kind::Rollout) {
-      // Jobs of public routes have no owner; see caller_gate::admitJobCall().
-      const bool Owned = Forwarded || !Route->Public;
-      Options.JobHandler.submit(
-          Exchange, *Route, Id,
-          {.Tenant = Owned ? Caller->Tenant : std::string(),
-           .Forwarded = Forwarded});
-      return;
-    }
-    if (Route->Kind == route_kind::Stream)
-      forwardStream(Exchange, *Route, *Caller, std::move(Request));
+    const bool AcceptsJobs = Route && Route->Kind == route_kind::Rollout;
+    if (Message.Method == "POST" && !Id.empty() && !AcceptsJobs &&
+        Options.Protocols.MayBeJob(Message.Body))
+      confirmSubmission(Exchange, Request, Forwarded);
     else
-      forwardUnary(Exchange, *Route, *Caller, std::move(Request));
+      handleByRoute(Exchange, std::move(Request), Forwarded);
   } catch (const std::invalid_argument &Error) {
     reject(Exchange, {}, StatusBadRequest, Error.what());
   }
 }
 
-/// Rejects a request without a route, unless it repeats the submission of a job
-/// that was accepted while the route existed.
-void request_handler::handleUnrouted(const exchange_ptr &Exchange,
-                                     const inbound_request &Request,
-                                     bool Forwarded) {
-  const std::string &RequestId = Request.UpstreamRequest.RequestId;
-  const auto Reject = [this, Exchange, RequestId] {
-    reject(Exchange, RequestId, StatusNotFound, "no_route");
-  };
-  if (Exchange->request().Method != "POST" || RequestId.empty()) {
-    Reject();
+void request_handler::confirmSubmission(const exchange_ptr &Exchange,
+                                        const inbound_request &Request,
+                                        bool Forwarded) {
+  const upstream_request &Call = Request.UpstreamRequest;
+  caller_admission Admission = admitJobCall({}, Request, Forwarded);
+  if (std::holds_alternative<caller_rejection>(Admission) &&
+      findRoute(Call.Host, Call.Target)) {
+    handleByRoute(Exchange, Request, Forwarded);
     return;
   }
-  const auto Caller = admitJobCall(Exchange, {}, Request, Forwarded);
+  const auto Caller =
+      checkAdmission(Exchange, Call.RequestId, std::move(Admission));
   if (Caller)
     Options.JobHandler.confirmSubmission(
-        Exchange, RequestId, {.Tenant = Caller->Tenant, .Forwarded = Forwarded},
-        Reject);
+        Exchange, Call.RequestId,
+        {.Tenant = Caller->Tenant, .Forwarded = Forwarded},
+        [this, Exchange, Request, Forwarded] {
+          handleByRoute(Exchange, Request, Forwarded);
+        });
+}
+
+void request_handler::handleByRoute(const exchange_ptr &Exchange,
+                                    inbound_request Request, bool Forwarded) {
+  const std::string Id = Request.UpstreamRequest.RequestId;
+  const route *Route =
+      findRoute(Request.UpstreamRequest.Host, Request.UpstreamRequest.Target);
+  const bool AcceptsJobs = Route && Route->Kind == route_kind::Rollout;
+  if (!Route || (Forwarded && !AcceptsJobs)) {
+    reject(Exchange, Id, StatusNotFound, "no_route");
+    return;
+  }
+  const auto Caller = admit(Exchange, *Route, Request, Forwarded);
+  if (!Caller)
+    return;
+  if (rejectIfStopping(Exchange, Id, timeLimit(*Route, Request)))
+    return;
+  switch (Route->Kind) {
+  case route_kind::Rollout: {
+    // Jobs of public routes have no owner; see caller_gate::admitJobCall().
+    const bool Owned = Forwarded || !Route->Public;
+    Options.JobHandler.submit(Exchange, *Route, Id,
+                              {.Tenant = Owned ? Caller->Tenant : std::string(),
+                               .Forwarded = Forwarded});
+    return;
+  }
+  case route_kind::Stream:
+    forwardStream(Exchange, *Route, *Caller, std::move(Request));
+    return;
+  case route_kind::Idempotent:
+  case route_kind::NonIdempotent:
+    forwardUnary(Exchange, *Route, *Caller, std::move(Request));
+    return;
+  }
 }
 
 std::optional<milliseconds>
--- a/server/request_handler.h
+++ b/server/request_handler.h
@@ -90,17 +90,23 @@
                                        const route &Route,
                                        const inbound_request &Request,
                                        bool Forwarded);
-  std::optional<caller_identity>
-  admitJobCall(const exchange_ptr &Exchange,
-               std::span<const route *const> JobRoutes,
-               const inbound_request &Request, bool Forwarded);
+  [[nodiscard]] caller_admission
+  admitJobCall(std::span<const route *const> JobRoutes,
+               const inbound_request &Request, bool Forwarded) const;
   std::optional<caller_identity> checkAdmission(const exchange_ptr &Exchange,
                                                 std::string_view RequestId,
                                                 caller_admission Admission);
+  /// Returns false, without effect, if the request is no call on a job.
   bool handleJobCall(const exchange_ptr &Exchange,
                      const inbound_request &Request, bool Forwarded);
-  void handleUnrouted(const exchange_ptr &Exchange,
-                      const inbound_request &Request, bool Forwarded);
+  /// Responds to a request that is no call on a job and does not repeat the
+  /// submission of one, as its route says.
+  void handleByRoute(const exchange_ptr &Exchange, inbound_request Request,
+                     bool Forwarded);
+  /// Handles a request that no route for jobs matches and that may repeat the
+  /// submission of a job.
+  void confirmSubmission(const exchange_ptr &Exchange,
+                         const inbound_request &Request, bool Forwarded);
   void forwardUnary(const exchange_ptr &Exchange, const route &Route,
                     const caller_identity &Caller, inbound_request Request);
   void forwardStream(const exchange_ptr &Exchange, const route &Route,
