Let a returning lease holder wait for its turn, and pass waits on

Cause: a successor acted at once when its predecessor had released the lease or had confirmed that it stopped; who had ordered before that was not asked. Change: a process orders again only a lease and the safety margin after its last order if another one has held the lease since; a start counts as an order. Records and hand-overs say for how long orders may still arrive. A process that released the lease orders no more. A waiting holder renews its lease when due, not at each planning. Why it works: waits are counted from a process's own last order on its own clock, or in durations that count from the receiver's observation, so that they can only be too long.

--- a/gateway/leader_election.cpp
+++ b/gateway/leader_election.cpp
@@ -8,6 +8,7 @@
 #include "jobs/inner_paths.h"
 #include "policy/fleet_rank.h"
 
+#include <algorithm>
 #include <stdexcept>
 
 namespace cardamom {
@@ -23,25 +24,34 @@
           {"incarnation", Record.Incarnation},
           {"address", Record.Address},
           {"token", Record.FencingToken},
+          {"settle_ms", Record.SettleTime.count()},
           {"revision", Record.Revision}};
 }
 
 /// A lease that another writer has overwritten in an invalid form counts as
 /// released. Each new token costs a revision of the store, so the revision is
-/// an upper bound on all tokens so far.
-static pool_lease_record decodeLease(const stored_object &Object) {
+/// an upper bound on all tokens so far. Its last holder is unknown and may act
+/// for LeaseLength.
+static pool_lease_record decodeLease(const stored_object &Object,
+                                     milliseconds LeaseLength) {
   const std::string Holder = textOr(Object.Spec, "holder", "?");
   const uint64_t Token = countOr(Object.Spec, "token");
   if (Holder == "?" || Token == 0 || Token > MaxFencingToken) {
     logError(
         "lease_unreadable",
         {{"name", Object.Name}, {"revision", std::to_string(Object.Revision)}});
-    return {.FencingToken = Object.Revision, .Revision = Object.Revision};
+    return {.FencingToken = Object.Revision,
+            .SettleTime = LeaseLength,
+            .Revision = Object.Revision};
   }
+  const milliseconds MaxSettleTime = 2 * LeaseLength;
+  const uint64_t SettleMs = countOr(Object.Spec, "settle_ms");
   return {.Holder = Holder,
           .Incarnation = textOr(Object.Spec, "incarnation"),
           .Address = textOr(Object.Spec, "address"),
           .FencingToken = Token,
+          .SettleTime =
+              milliseconds(std::min(SettleMs, uint64_t(MaxSettleTime.count()))),
           .Revision = Object.Revision};
 }
 
@@ -50,7 +60,8 @@
       Lease({.Self = this->Options.Self,
              .Incarnation = this->Options.Incarnation,
              .Address = this->Options.InnerAddress,
-             .Duration = this->Options.LeaseLength}) {}
+             .Duration = this->Options.LeaseLength,
+             .StartedAt = event_loop::now()}) {}
 
 leader_election::~leader_election() = default;
 
@@ -121,16 +132,19 @@
   observeLease(Object);
 }
 
+std::optional<milliseconds>
+leader_election::settleTimeFor(const json &SuccessorLease,
+                               time_point Now) const {
+  return Lease.settleTimeFor(countOr(SuccessorLease, "token"), Now);
+}
+
 void leader_election::release() {
   const bool WasHolder = Lease.holds();
   Released = true;
   TickTimer.reset();
   if (!WasHolder)
     return;
-  pool_lease_record Record = Lease.proposedRecord();
-  // The address remains, so that a successor can request a hand-over.
-  Record.Holder.clear();
-  Record.Incarnation.clear();
+  const pool_lease_record Record = Lease.release(event_loop::now());
   object_request Request{.Op = object_op::Replace,
                          .Kind = Options.LeaseKind,
                          .Name = Options.Name,
@@ -146,7 +160,7 @@
   if (LeaseAbsent)
     Lease.observeAbsent();
   else
-    Lease.observe(decodeLease(Object), event_loop::now());
+    Lease.observe(decodeLease(Object, Options.LeaseLength), event_loop::now());
   if (Lease.record().Holder != PreviousHolder) {
     HolderDown = false;
     ProbeFailures = 0;
@@ -286,13 +300,13 @@
   if (WritingLease || Released || !Lease.mayAcquire(HolderDown) ||
       !Options.Store.reachable())
     return;
-  writeLease(Lease.proposedRecord(), /*Renewal=*/false);
+  writeLease(Lease.proposedRecord(event_loop::now()), /*Renewal=*/false);
 }
 
 void leader_election::renew() {
   if (WritingLease || Released || !Lease.holds())
     return;
-  writeLease(Lease.proposedRecord(), /*Renewal=*/true);
+  writeLease(Lease.proposedRecord(event_loop::now()), /*Renewal=*/true);
 }
 
 void leader_election::writeLease(const pool_lease_record &Record,
--- a/gateway/leader_election.h
+++ b/gateway/leader_election.h
@@ -24,6 +24,7 @@
 #include <functional>
 #include <memory>
 #include <nlohmann/json_fwd.hpp>
+#include <optional>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -107,7 +108,7 @@
   /// The store is reachable again after an outage.
   void onStoreReconnected() { readLease(); }
   /// Releases the lease and does not acquire it again. This process stays
-  /// the leader until it sees a successor's lease.
+  /// the leader until it sees a successor's lease, but does not act any more.
   void release();
   [[nodiscard]] bool released() const { return Released; }
   [[nodiscard]] bool holdsLease() const { return Lease.holds(); }
@@ -118,7 +119,6 @@
   [[nodiscard]] bool hasSettled(time_point Now) const;
   /// Renews the lease if it expires soon.
   void renewIfDue(time_point Now);
-  void renew();
   /// Whether this process, as the holder, is in a position to serve; see
   /// CanServe.
   [[nodiscard]] bool isServing(time_point Now) const;
@@ -148,8 +148,20 @@
   void checkSuccessor(const nlohmann::json &SuccessorLease) const;
   /// Records a lease that a successor has sent and checkSuccessor() accepts.
   void onSuccessor(const nlohmann::json &SuccessorLease);
-  /// Records that the former holder has stopped acting.
-  void onPredecessorStopped(time_point Now) { Lease.onPredecessorStopped(Now); }
+  /// Records that the former holder has stopped acting; see lease.
+  void onPredecessorStopped(std::optional<milliseconds> SettleTime,
+                            time_point Now) {
+    Lease.onPredecessorStopped(SettleTime, Now);
+  }
+  /// What this process, as a former holder, tells its successor; see lease.
+  [[nodiscard]] std::optional<milliseconds>
+  settleTimeFor(const nlohmann::json &SuccessorLease, time_point Now) const;
+  /// Records that a call under the lease is about to be sent.
+  void onActed(time_point Now) { Lease.onActed(Now); }
+  /// Time until this process, as the holder, may act.
+  [[nodiscard]] milliseconds waitToAct(time_point Now) const {
+    return Lease.waitToAct(Now);
+  }
   /// A gateway that can reach the store, and could take over, has probed this
   /// one.
   void onCandidateProbe(std::string_view Name);
@@ -162,6 +174,7 @@
   void onProbeAnswer(const call_completion &End, unsigned Status);
   void scheduleAcquire();
   void acquire();
+  void renew();
   void writeLease(const pool_lease_record &Record, bool Renewal);
   void onLeaseRead(const object_reply &Reply);
   void watchLease();
--- a/jobs/inner_paths.h
+++ b/jobs/inner_paths.h
@@ -28,8 +28,12 @@
 inline constexpr std::string_view InnerEndPath = "/inner/end";
 
 /// POST ?pool=P, body: the lease that the sender has acquired. The previous
-/// scheduler stops and returns the progress of its items.
+/// scheduler stops and returns the progress of its items, and InnerSettleHeader
+/// if it held the lease right before the sender.
 inline constexpr std::string_view InnerHandoverPath = "/inner/handover";
+/// Milliseconds for which orders of the previous scheduler, and of those before
+/// it, may still arrive.
+inline constexpr std::string_view InnerSettleHeader = "Cardamom-Settle-Ms";
 /// POST ?pool=P, body: progress of long-running items, stored for a successor
 /// of the sender. GET ?pool=P: the progress stored last.
 inline constexpr std::string_view InnerCheckpointPath = "/inner/checkpoint";
--- a/jobs/pool_leadership.cpp
+++ b/jobs/pool_leadership.cpp
@@ -1,6 +1,7 @@
 #include "jobs/pool_leadership.h"
 
 #include "base/bounded_json.h"
+#include "base/identifier.h"
 #include "base/log.h"
 #include "base/metrics.h"
 #include "base/percent_encoding.h"
@@ -94,7 +95,7 @@
             Election.renewIfDue(Now);
             return Election.mayAct(Now);
           },
-      .RenewLease = [this] { Election.renew(); },
+      .OnOrder = [this](time_point Now) { Election.onActed(Now); },
       .RunningItemCount =
           [this](std::string_view Replica) {
             return Scheduler ? Scheduler->runningItemCount(Replica) : 0;
@@ -123,6 +124,11 @@
     requestHandover(PredecessorAddress);
 }
 
+static std::optional<milliseconds> settleTimeOf(const http_response &Response) {
+  const auto Ms = parseWholeNumber(Response.Headers.get(InnerSettleHeader));
+  return Ms ? std::optional(milliseconds(*Ms)) : std::nullopt;
+}
+
 void pool_leadership::requestHandover(const std::string &Address) {
   const http_request Request{.Method = "POST",
                              .Target = std::string(InnerHandoverPath) +
@@ -137,7 +143,8 @@
         const bool Stopped =
             End.Result == call_result::Complete && Response.Status == 200;
         if (Stopped)
-          Election.onPredecessorStopped(event_loop::now());
+          Election.onPredecessorStopped(settleTimeOf(Response),
+                                        event_loop::now());
         else
           logInfo("handover_failed",
                   {{"pool", pool()},
@@ -279,7 +286,7 @@
       });
 }
 
-json pool_leadership::handOver(const json &SuccessorLease) {
+scheduler_handover pool_leadership::handOver(const json &SuccessorLease) {
   Election.checkSuccessor(SuccessorLease);
   json Progress =
       Scheduler ? Scheduler->exportProgress() : std::move(FinalProgress);
@@ -290,10 +297,17 @@
   Election.onSuccessor(SuccessorLease);
   stopScheduler("handed over");
   dropFinalProgress();
-  return Progress;
+  return {.Progress = std::move(Progress),
+          .SettleTime =
+              Election.settleTimeFor(SuccessorLease, event_loop::now())};
 }
 
 void pool_leadership::completeStart() {
+  logInfo("lease_settling",
+          {{"pool", pool()},
+           {"token", std::to_string(Election.record().FencingToken)},
+           {"orders_wait_ms",
+            std::to_string(Election.waitToAct(event_loop::now()).count())}});
   // The announcement stops the predecessor's scheduler, so it must follow the
   // hand-over.
   Election.announceLease();
--- a/jobs/pool_leadership.h
+++ b/jobs/pool_leadership.h
@@ -19,6 +19,7 @@
 
 #include <functional>
 #include <memory>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -53,6 +54,15 @@
   milliseconds StartGrace{3000};
 };
 
+/// What a scheduler passes on to its successor.
+struct scheduler_handover {
+  /// Of its items, by id.
+  nlohmann::json Progress;
+  /// For how long orders of this scheduler, and of those before it, may still
+  /// arrive; nullopt = unknown.
+  std::optional<milliseconds> SettleTime;
+};
+
 class pool_leadership {
 public:
   explicit pool_leadership(pool_leadership_options Options);
@@ -74,10 +84,10 @@
   /// until a successor requests the hand-over or this process sees the
   /// successor's lease.
   void releaseLease() { Election.release(); }
-  /// Handles a successor's hand-over request: stops the scheduler and returns
-  /// its progress. SuccessorLease is the lease as encoded by the successor.
-  /// Throws std::invalid_argument if it is malformed or outdated.
-  nlohmann::json handOver(const nlohmann::json &SuccessorLease);
+  /// Handles a successor's hand-over request: stops the scheduler.
+  /// SuccessorLease is the lease as encoded by the successor. Throws
+  /// std::invalid_argument if it is malformed or outdated.
+  scheduler_handover handOver(const nlohmann::json &SuccessorLease);
   /// Stores the progress that another gateway's scheduler has sent.
   void setCheckpoint(std::string Progress) { Checkpoint = std::move(Progress); }
   [[nodiscard]] const std::string &checkpoint() const { return Checkpoint; }
--- a/jobs/weight_updater.cpp
+++ b/jobs/weight_updater.cpp
@@ -123,10 +123,8 @@
                          .PostponedModels = Postponed});
   if (Planned.empty())
     return;
-  if (!Options.MayOrder(Now)) {
-    Options.RenewLease();
+  if (!Options.MayOrder(Now))
     return;
-  }
   for (const weight_change &Change : Planned)
     startChange(std::string(Replicas[Change.Replica].Id), Change);
 }
@@ -228,10 +226,12 @@
                                const replica_report &Report) {
   pending_change *Change = findChange(ReplicaId);
   const replica *Replica = Options.Directory.find(ReplicaId);
-  if (!Replica || Replica->Draining || !Options.MayOrder(event_loop::now())) {
+  const time_point Now = event_loop::now();
+  if (!Replica || Replica->Draining || !Options.MayOrder(Now)) {
     endChange(ReplicaId);
     return;
   }
+  Options.OnOrder(Now);
   const load_weights_order Order{.Model = Change->Planned.Model,
                                  .Version = Change->Planned.Version,
                                  .DrainRunsFirst = Options.DrainRunsFirst(),
@@ -240,7 +240,7 @@
                                  .ExpectedOrders = Report.OrdersAccepted,
                                  .ReplicaId = ReplicaId};
   Change->OrderSent = true;
-  Change->OrderSentAt = event_loop::now();
+  Change->OrderSentAt = Now;
   metrics::get().counter("weight_orders_total").add();
   logInfo("weights_ordered",
           {{"replica", ReplicaId},
@@ -265,7 +265,12 @@
                                      : order_outcome::Unknown);
       },
       [this, AcceptsWork = Options.Gate.writeCheck(*Replica)] {
-        return AcceptsWork() && Options.MayOrder(event_loop::now());
+        // Asked on a new connection only, which takes time to establish.
+        const time_point WrittenAt = event_loop::now();
+        if (!AcceptsWork() || !Options.MayOrder(WrittenAt))
+          return false;
+        Options.OnOrder(WrittenAt);
+        return true;
       });
 }
 
--- a/jobs/weight_updater.h
+++ b/jobs/weight_updater.h
@@ -44,10 +44,11 @@
   std::string Pool;
   std::string Holder;
   uint64_t FencingToken = 0;
-  /// Whether this process may send orders now.
+  /// Whether this process may send orders now. Starts a renewal of the lease if
+  /// that is due.
   std::function<bool(time_point Now)> MayOrder;
-  /// Starts a renewal of the lease; MayOrder() returns true once it is done.
-  std::function<void()> RenewLease;
+  /// An order is sent at the time.
+  std::function<void(time_point Now)> OnOrder;
   std::function<unsigned(std::string_view Replica)> RunningItemCount;
   /// Whether samples of the pool must come from one version of the weights, so
   /// that runs must finish before a change.
--- a/jobs/weight_updater_test.cpp
+++ b/jobs/weight_updater_test.cpp
@@ -95,7 +95,7 @@
             .Holder = "h",
             .FencingToken = 1,
             .MayOrder = [](time_point) { return true; },
-            .RenewLease = [] {},
+            .OnOrder = [](time_point) {},
             .RunningItemCount = [](std::string_view) { return 0U; },
             .DrainRunsFirst = [] { return false; },
             .OnFenced = [] {},
--- a/server/gateway.cpp
+++ b/server/gateway.cpp
@@ -744,10 +744,15 @@
     if (!Pool)
       throw std::invalid_argument("unknown pool");
     const nlohmann::json Lease = parseBoundedJson(Exchange->request().Body);
+    const scheduler_handover Handover = Pool->handOver(Lease);
+    header_list Headers = {{"Content-Type", "application/json"}};
+    if (Handover.SettleTime)
+      Headers.add(InnerSettleHeader,
+                  std::to_string(Handover.SettleTime->count()));
     Exchange->respond(
         {.Status = 200,
-         .Headers = {{"Content-Type", "application/json"}},
-         .Body = Pool->handOver(Lease).dump(
+         .Headers = std::move(Headers),
+         .Body = Handover.Progress.dump(
              -1, ' ', false, nlohmann::json::error_handler_t::replace)});
   } catch (const std::invalid_argument &Error) {
     logInfo("handover_refused", {{"reason", Error.what()}});
