Give jobs of different owners different names in all cases

Callers would see: a caller without a key reads and ends a tenant's job as /lots/TENANT:ID, on a host without routes for jobs that need a key. Cause: a job without an owner was named by its id alone, so that an id could equal the name TENANT:ID of a tenant's job. Change: a job without an owner whose id contains a colon is named ":ID". Why it works: no tenant has an empty name and an encoded name contains no colon, so that the first colon separates owner and id in every name.

--- a/jobs/job.cpp
+++ b/jobs/job.cpp
@@ -7,9 +7,9 @@
 namespace cardamom {
 
 std::string qualifiedJobId(std::string_view Owner, std::string_view Id) {
-  if (Owner.empty())
+  if (Owner.empty() && Id.find(':') == std::string_view::npos)
     return std::string(Id);
-  // The encoded owner contains no colon.
+  // The encoded owner contains no colon, so that the first one ends it.
   return percentEncode(Owner) + ':' + std::string(Id);
 }
 
--- a/jobs/job.h
+++ b/jobs/job.h
@@ -72,9 +72,10 @@
   std::vector<job_item> Items;
 };
 
-/// Name of a job inside the system: its id, preceded by the owner if it has
-/// one. Jobs of different tenants therefore never meet, even with equal ids,
-/// and a caller can name only jobs of its own tenant.
+/// Name of a job inside the system: its id, preceded by the owner if it has one
+/// and by a colon if the id could be taken for such a name. Different pairs of
+/// owner and id have different names, so that jobs of different tenants never
+/// meet, and no id names a job of another owner.
 std::string qualifiedJobId(std::string_view Owner, std::string_view Id);
 
 /// Returns the item's decoded body, or nothing if the job has no such item.
