Derive the owner of a called job from the job, not from the routes

Cause: the name of a stored job contains its owner. caller_gate derived the owner of a called job from the routes for jobs that its host has now, so that a change of these routes changed the name that calls asked for.

Change: the gate identifies the caller whatever the routes are. The job handler looks for the caller's own job, then for one without an owner; the routes of the moment decide only between 401 and 404 if there is none. job_host_registry tells hosts with owned jobs from hosts with jobs without an owner, so that only hosts with both cost a second read. Gateways read these records for the hosts of a new configuration, so that calls are answered during an outage of the store. The same holds for repeated submissions that no route for jobs matches and for forwarded calls, which name the owner.

caller_gate_test: jobCallsNeedTheKeyOfTheirRoutes pinned the fault (the tenant's key made an anonymous call on a host with public routes only). Two table tests replace it: they cover all of its cases and check the caller and the answer for unknown jobs apart.

--- a/jobs/job_host_registry.cpp
+++ b/jobs/job_host_registry.cpp
@@ -1,41 +1,42 @@
 #include "jobs/job_host_registry.h"
 
 #include "base/log.h"
-#include "gateway/route_table.h"
 
 namespace cardamom {
 
 job_host_registry::job_host_registry(job_host_registry_options Options)
     : Options(std::move(Options)) {}
 
-void job_host_registry::add(std::string_view Host) {
-  HostsWithJobs.insert(hostName(Host));
+void job_host_registry::add(const job_host &Host) {
+  HostsWithJobs.insert(Host);
+}
+
+bool job_host_registry::known(const job_host &Host) const {
+  return HostsWithJobs.contains(Host);
 }
 
 std::optional<object_request>
-job_host_registry::missingRecord(std::string_view Host) const {
-  const std::string Name = hostName(Host);
-  if (RecordedHosts.contains(Name))
+job_host_registry::missingRecord(const job_host &Host) const {
+  if (RecordedHosts.contains(Host))
     return std::nullopt;
   return object_request{.Op = object_op::Create,
                         .Kind = Options.Kind,
-                        .Name = Name,
+                        .Name = Host.recordName(),
                         .Value = nlohmann::json::object()};
 }
 
-void job_host_registry::onRecorded(std::string_view Host) {
+void job_host_registry::onRecorded(const job_host &Host) {
   add(Host);
-  RecordedHosts.insert(hostName(Host));
+  RecordedHosts.insert(Host);
 }
 
-void job_host_registry::find(std::string_view Host, time_point Now,
+void job_host_registry::find(const job_host &Host, time_point Now,
                              find_callback Done) {
-  const std::string Name = hostName(Host);
-  if (HostsWithJobs.contains(Name)) {
+  if (known(Host)) {
     Done(job_host_status::HasJobs);
     return;
   }
-  const auto Miss = Misses.find(Name);
+  const auto Miss = Misses.find(Host);
   const bool Reachable = Options.Store.reachable();
   // While the store cannot be asked, the last answer counts, so that other
   // services of the host stay available.
@@ -48,19 +49,25 @@
     Done(job_host_status::Unavailable);
     return;
   }
-  std::vector<find_callback> &Calls = Waiting[Name];
+  std::vector<find_callback> &Calls = Waiting[Host];
   Calls.push_back(std::move(Done));
   if (Calls.size() > 1)
     return;
-  Options.Store.call({.Op = object_op::Get, .Kind = Options.Kind, .Name = Name},
-                     [this, Weak = std::weak_ptr<bool>(Alive), Name,
-                      Now](const object_reply &Reply) {
-                       if (!Weak.expired())
-                         onRead(Name, Now, Reply);
-                     });
+  Options.Store.call(
+      {.Op = object_op::Get, .Kind = Options.Kind, .Name = Host.recordName()},
+      [this, Weak = std::weak_ptr<bool>(Alive), Host,
+       Now](const object_reply &Reply) {
+        if (!Weak.expired())
+          onRead(Host, Now, Reply);
+      });
+}
+
+void job_host_registry::prefetch(const job_host &Host, time_point Now) {
+  if (!known(Host) && !Misses.contains(Host))
+    find(Host, Now, [](job_host_status /*Status*/) {});
 }
 
-void job_host_registry::onRead(const std::string &Host, time_point SentAt,
+void job_host_registry::onRead(const job_host &Host, time_point SentAt,
                                const object_reply &Reply) {
   job_host_status Status = job_host_status::Unavailable;
   switch (Reply.Outcome) {
@@ -81,8 +88,8 @@
       Status = job_host_status::NoJobs;
     break;
   }
-  logInfo("job_host_read",
-          {{"host", Host}, {"outcome", std::string(toString(Reply.Outcome))}});
+  logInfo("job_host_read", {{"host", Host.recordName()},
+                            {"outcome", std::string(toString(Reply.Outcome))}});
   auto Calls = Waiting.extract(Host);
   for (const find_callback &Done : Calls.mapped())
     Done(Status);
--- a/jobs/job_host_registry.h
+++ b/jobs/job_host_registry.h
@@ -1,24 +1,26 @@
 /// \file
-/// Knows on which hosts batch jobs have been accepted. A job outlives its
-/// route, so that calls on it must be told from requests to other services of
-/// its host that use the same paths.
+/// Knows on which hosts batch jobs with and without an owner have been
+/// accepted. A job outlives its route, so that calls on it must be told from
+/// requests to other services of its host that use the same paths.
 ///
 /// Usage:
 ///   job_host_registry Hosts({.Store = Store, .Kind = "job-hosts"});
-///   Hosts.add("h.example");             // the configuration has such a route
-///   if (auto Write = Hosts.missingRecord("h.example")) ... // before a job
-///   Hosts.find("h.example", Now, [](job_host_status Status) { ... });
+///   const job_host Host("h.example", job_ownership::Owned);
+///   Hosts.add(Host);             // the configuration has such a route
+///   if (auto Write = Hosts.missingRecord(Host)) ... // before a job
+///   Hosts.find(Host, Now, [](job_host_status Status) { ... });
 ///
-/// The store has one object for each host. It is created before the first job
-/// of the host is accepted and never removed. A host without jobs costs at most
-/// one read per MissMaxAge, and only while such calls arrive. During an outage
-/// of the store, what was known before remains valid. Runs on the event loop's
-/// thread.
+/// The store has one object for each host and ownership. It is created before
+/// the first such job of the host is accepted and never removed. A host without
+/// jobs costs at most one read per MissMaxAge, and only while such calls
+/// arrive. During an outage of the store, what was known before remains valid.
+/// Runs on the event loop's thread.
 
 #ifndef CARDAMOM_JOBS_JOB_HOST_REGISTRY_H
 #define CARDAMOM_JOBS_JOB_HOST_REGISTRY_H
 
 #include "base/time.h"
+#include "jobs/job_host.h"
 #include "store/async_store_client.h"
 
 #include <functional>
@@ -27,7 +29,6 @@
 #include <optional>
 #include <set>
 #include <string>
-#include <string_view>
 #include <vector>
 
 namespace cardamom {
@@ -58,29 +59,34 @@
 
   explicit job_host_registry(job_host_registry_options Options);
 
-  /// Records that jobs can be accepted on the host. Host may include a port,
-  /// here and below.
-  void add(std::string_view Host);
+  /// Records that jobs can be accepted on the host.
+  void add(const job_host &Host);
+  /// Whether jobs may have been accepted on the host, as far as this process
+  /// knows without a read.
+  [[nodiscard]] bool known(const job_host &Host) const;
   /// Returns the write that must succeed, or conflict with an existing object,
   /// before a job of the host is stored; nullopt = none is needed.
   [[nodiscard]] std::optional<object_request>
-  missingRecord(std::string_view Host) const;
+  missingRecord(const job_host &Host) const;
   /// Records that the write succeeded.
-  void onRecorded(std::string_view Host);
+  void onRecorded(const job_host &Host);
   /// Calls Done at once if the answer is known.
-  void find(std::string_view Host, time_point Now, find_callback Done);
+  void find(const job_host &Host, time_point Now, find_callback Done);
+  /// Reads the host's record unless something is known of it, so that find()
+  /// has an answer during an outage of the store.
+  void prefetch(const job_host &Host, time_point Now);
 
 private:
-  void onRead(const std::string &Host, time_point SentAt,
+  void onRead(const job_host &Host, time_point SentAt,
               const object_reply &Reply);
 
   job_host_registry_options Options;
-  std::set<std::string, std::less<>> HostsWithJobs;
-  std::set<std::string, std::less<>> RecordedHosts;
-  /// When the store was last found to have no record, by host.
-  std::map<std::string, time_point, std::less<>> Misses;
-  /// Calls that wait for a read in flight, by host.
-  std::map<std::string, std::vector<find_callback>, std::less<>> Waiting;
+  std::set<job_host> HostsWithJobs;
+  std::set<job_host> RecordedHosts;
+  /// When the store was last found to have no record.
+  std::map<job_host, time_point> Misses;
+  /// Calls that wait for a read in flight.
+  std::map<job_host, std::vector<find_callback>> Waiting;
   std::shared_ptr<bool> Alive = std::make_shared<bool>(true);
 };
 
--- a/jobs/job_host_registry_test.cpp
+++ b/jobs/job_host_registry_test.cpp
@@ -15,6 +15,8 @@
   CPPUNIT_TEST(callsShareOneRead);
   CPPUNIT_TEST(outageKeepsWhatIsKnown);
   CPPUNIT_TEST(hostsOfCallersAreForgotten);
+  CPPUNIT_TEST(ownersAreToldApart);
+  CPPUNIT_TEST(prefetchedHostIsKnownDuringAnOutage);
   CPPUNIT_TEST_SUITE_END();
 
   event_loop Loop;
@@ -24,12 +26,17 @@
   std::unique_ptr<job_host_registry> Hosts;
   const time_point Start = time_point{} + milliseconds(100000);
 
+  static job_host owned(std::string_view Host) {
+    return job_host(Host, job_ownership::Owned);
+  }
+
   time_point at(int Ms) const { return Start + milliseconds(Ms); }
 
   /// Returns the statuses that the registry reports, as a text such as "HNU".
   std::string Statuses;
-  void find(std::string_view Host, time_point Now) {
-    Hosts->find(Host, Now, [this](job_host_status Status) {
+  void find(std::string_view Host, time_point Now,
+            job_ownership Ownership = job_ownership::Owned) {
+    Hosts->find(job_host(Host, Ownership), Now, [this](job_host_status Status) {
       Statuses += Status == job_host_status::HasJobs  ? 'H'
                   : Status == job_host_status::NoJobs ? 'N'
                                                       : 'U';
@@ -58,7 +65,7 @@
 
   // Guards against a store call for each call on a job.
   void configuredHostNeedsNoRead() {
-    Hosts->add("H.example:80");
+    Hosts->add(owned("H.example:80"));
     find("h.example", at(0));
     CPPUNIT_ASSERT_EQUAL(std::string("H"), Statuses);
     CPPUNIT_ASSERT(Calls.empty());
@@ -67,20 +74,20 @@
   // Guards against a job that a gateway cannot find because it was started
   // after the job's route was removed.
   void recordOutlivesTheConfiguration() {
-    Hosts->add("h.example");
-    const auto Record = Hosts->missingRecord("h.example:80");
+    Hosts->add(owned("h.example"));
+    const auto Record = Hosts->missingRecord(owned("h.example:80"));
     CPPUNIT_ASSERT(Record);
-    CPPUNIT_ASSERT_EQUAL(std::string("h.example"), Record->Name);
+    CPPUNIT_ASSERT_EQUAL(std::string("h.example:owned"), Record->Name);
     CPPUNIT_ASSERT(Record->Op == object_op::Create);
-    Hosts->onRecorded("h.example:80");
-    CPPUNIT_ASSERT(!Hosts->missingRecord("h.example"));
+    Hosts->onRecorded(owned("h.example:80"));
+    CPPUNIT_ASSERT(!Hosts->missingRecord(owned("h.example")));
 
     setUp();
     find("h.example", at(0));
     answer(object_outcome::Done);
     find("h.example", at(10));
     CPPUNIT_ASSERT_EQUAL(std::string("HH"), Statuses);
-    CPPUNIT_ASSERT(!Hosts->missingRecord("h.example"));
+    CPPUNIT_ASSERT(!Hosts->missingRecord(owned("h.example")));
   }
 
   // Guards against a first job, accepted by another gateway, that stays unknown
@@ -129,6 +136,40 @@
     CPPUNIT_ASSERT_EQUAL(size_t(1), Calls.size());
     answer(object_outcome::NotFound);
   }
+
+  // Guards against a store call for each call without a key on a host whose
+  // jobs all have owners, and against a job without an owner that counts as
+  // unknown there.
+  void ownersAreToldApart() {
+    Hosts->add(owned("h.example"));
+    for (int I = 0; I < 3; ++I) {
+      find("h.example", at(I), job_ownership::Unowned);
+      if (I == 0)
+        answer(object_outcome::NotFound);
+    }
+    CPPUNIT_ASSERT_EQUAL(std::string("NNN"), Statuses);
+    CPPUNIT_ASSERT(Calls.empty());
+    const job_host Unowned("h.example", job_ownership::Unowned);
+    Hosts->onRecorded(Unowned);
+    find("h.example", at(3), job_ownership::Unowned);
+    CPPUNIT_ASSERT_EQUAL(std::string("NNNH"), Statuses);
+    CPPUNIT_ASSERT(Hosts->missingRecord(owned("h.example")));
+    CPPUNIT_ASSERT(!Hosts->missingRecord(Unowned));
+  }
+
+  // Guards against callers without a valid key that are told to retry during an
+  // outage of the store, and against a read for each configuration.
+  void prefetchedHostIsKnownDuringAnOutage() {
+    Hosts->prefetch(owned("h.example"), at(0));
+    answer(object_outcome::NotFound);
+    Hosts->prefetch(owned("h.example"), at(5000));
+    CPPUNIT_ASSERT(Calls.empty());
+    find("other.example", at(5000));
+    answer(object_outcome::Unknown);
+    CPPUNIT_ASSERT(!Store->reachable());
+    find("h.example", at(5001));
+    CPPUNIT_ASSERT_EQUAL(std::string("UN"), Statuses);
+  }
 };
 
 CPPUNIT_TEST_SUITE_NAMED_REGISTRATION(job_host_registry_test,
--- a/jobs/job_request_handler.cpp
+++ b/jobs/job_request_handler.cpp
@@ -32,11 +32,22 @@
 /// A call that has not been answered yet.
 struct job_request_handler::pending_call {
   exchange_ptr Exchange;
+  /// Name of the stored job, which depends on Owner.
   std::string JobId;
   job_call Call;
   /// Pools whose schedulers have not been tried yet.
   std::vector<std::string> Pools;
   job_caller Caller;
+  /// Owner of the job that is looked for or submitted; empty = none.
+  std::string Owner;
+  /// Owners whose jobs have not been looked for yet, the next one last.
+  std::vector<std::string> NextOwners;
+  /// What the search for each owner starts with.
+  std::string Host;
+  std::string RequestedId;
+  std::vector<std::string> AllPools;
+  /// Continues once jobs of the owner may exist on the host.
+  std::function<void(const pending_call_ptr &)> OnOwner;
   /// Gateways to which the call has not been forwarded yet.
   std::vector<std::string> Peers;
   bool PeersChosen = false;
@@ -49,6 +60,7 @@
 
 struct job_request_handler::submission {
   pending_call_ptr Pending;
+  job_host Host;
   /// Record of the job's host, to be created first; absent = it exists.
   std::optional<object_request> HostRecord;
   object_request Request;
@@ -82,6 +94,12 @@
              .ResultKind = this->Options.ResultKind}),
       Hosts({.Store = this->Options.Store, .Kind = this->Options.HostKind}) {}
 
+void job_request_handler::addJobHost(const job_host &Host) { Hosts.add(Host); }
+
+void job_request_handler::prefetchJobHost(const job_host &Host) {
+  Hosts.prefetch(Host, event_loop::now());
+}
+
 void job_request_handler::answerUnknown(const pending_call_ptr &Pending) {
   if (Pending->OnUnknown)
     Pending->OnUnknown();
@@ -164,17 +182,17 @@
   Request.Target = std::string(InnerForwardPrefix) + Request.Target;
   Request.Headers.removeHopByHopHeaders();
   Request.Headers.remove(InnerTenantHeader);
-  if (!Pending->Caller.Tenant.empty())
-    Request.Headers.add(InnerTenantHeader,
-                        percentEncode(Pending->Caller.Tenant));
+  if (!Pending->Owner.empty())
+    Request.Headers.add(InnerTenantHeader, percentEncode(Pending->Owner));
   logInfo("job_call_forwarded", {{"job", Pending->JobId}, {"to", Address}});
   metrics::get().counter("job_calls_forwarded_total").add();
   callGateway(Address, Request, Pending->Call.Wait + Options.ForwardTimeout,
               [this, Pending, Reason = std::string(Reason)](
                   const call_completion &End, http_response Response) {
                 if (End.Result == call_result::Complete &&
-                    Response.Status == StatusNotFound && Pending->OnUnknown) {
-                  Pending->OnUnknown();
+                    Response.Status == StatusNotFound &&
+                    (Pending->OnUnknown || !Pending->NextOwners.empty())) {
+                  tryNextOwner(Pending);
                   return;
                 }
                 if (End.Result == call_result::Complete &&
@@ -213,15 +231,17 @@
   Pending->JobId = qualifiedJobId(Caller.Tenant, RequestId);
   Pending->Pools = {Pool};
   Pending->Caller = Caller;
+  Pending->Owner = Caller.Tenant;
   if (!Options.Store.reachable()) {
     forward(Pending, "store_lost");
     return;
   }
   const std::string Host(Exchange->request().Headers.get("Host"));
-  auto Submission = std::make_shared<submission>();
-  Submission->Pending = Pending;
-  Submission->StartedAt = event_loop::now();
-  Submission->HostRecord = Hosts.missingRecord(Host);
+  auto Submission = std::make_shared<submission>(
+      submission{.Pending = Pending,
+                 .Host = job_host(Host, ownershipOf(Caller.Tenant)),
+                 .StartedAt = event_loop::now()});
+  Submission->HostRecord = Hosts.missingRecord(Submission->Host);
   Submission->Request = {
       .Op = object_op::Create,
       .Kind = Options.JobKind,
@@ -253,15 +273,15 @@
 
 void job_request_handler::onHostRecorded(
     const std::shared_ptr<submission> &Submission, const object_reply &Reply) {
-  const std::string &Host = Submission->HostRecord->Name;
   logInfo("job_host_recorded",
-          {{"host", Host}, {"outcome", std::string(toString(Reply.Outcome))}});
+          {{"host", Submission->HostRecord->Name},
+           {"outcome", std::string(toString(Reply.Outcome))}});
   if (Reply.Outcome != object_outcome::Done &&
       Reply.Outcome != object_outcome::Conflict) {
     retryWrite(Submission);
     return;
   }
-  Hosts.onRecorded(Host);
+  Hosts.onRecorded(Submission->Host);
   Submission->HostRecord.reset();
   write(Submission);
 }
@@ -375,27 +395,73 @@
   }
   auto Pending = std::make_shared<pending_call>();
   Pending->Exchange = Exchange;
-  Pending->JobId = qualifiedJobId(Caller.Tenant, RequestId);
-  Pending->Pools = Options.KnownPools();
+  Pending->Host = Exchange->request().Headers.get("Host");
+  Pending->RequestedId = RequestId;
+  Pending->AllPools = Options.KnownPools();
   Pending->Caller = Caller;
   Pending->OnUnknown = std::move(OnUnknown);
   // Unless the store says otherwise.
   Pending->MayBeStored = true;
-  Hosts.find(Exchange->request().Headers.get("Host"), event_loop::now(),
+  Pending->OnOwner = [this](const pending_call_ptr &Found) {
+    findSubmission(Found);
+  };
+  tryOwners(Pending);
+}
+
+void job_request_handler::tryOwners(const pending_call_ptr &Pending) {
+  const job_caller &Caller = Pending->Caller;
+  const auto Known = [&](job_ownership Ownership) {
+    return Hosts.known(job_host(Pending->Host, Ownership));
+  };
+  Pending->NextOwners = {Caller.Tenant};
+  if (!Caller.Tenant.empty() && !Caller.Forwarded) {
+    // A search that needs no read of the store first comes first.
+    const bool UnownedFirst =
+        Known(job_ownership::Unowned) && !Known(job_ownership::Owned);
+    Pending->NextOwners.insert(UnownedFirst ? Pending->NextOwners.end()
+                                            : Pending->NextOwners.begin(),
+                               std::string());
+  }
+  tryNextOwner(Pending);
+}
+
+void job_request_handler::tryNextOwner(const pending_call_ptr &Pending) {
+  if (Pending->NextOwners.empty()) {
+    answerUnknown(Pending);
+    return;
+  }
+  Pending->Owner = std::move(Pending->NextOwners.back());
+  Pending->NextOwners.pop_back();
+  Pending->JobId = qualifiedJobId(Pending->Owner, Pending->RequestedId);
+  Pending->Call.JobId = Pending->JobId;
+  Pending->Pools = Pending->AllPools;
+  Pending->Peers.clear();
+  Pending->PeersChosen = false;
+  Hosts.find(job_host(Pending->Host, ownershipOf(Pending->Owner)),
+             event_loop::now(),
              [this, Weak = std::weak_ptr<bool>(Alive),
               Pending](job_host_status Status) {
                if (Weak.expired())
                  return;
-               if (Status == job_host_status::NoJobs)
-                 answerUnknown(Pending);
-               else if (!Options.Store.reachable())
+               switch (Status) {
+               case job_host_status::HasJobs:
+                 Pending->OnOwner(Pending);
+                 return;
+               case job_host_status::NoJobs:
+                 tryNextOwner(Pending);
+                 return;
+               case job_host_status::Unavailable:
                  forward(Pending, "store_lost");
-               else
-                 findSubmission(Pending);
+                 return;
+               }
              });
 }
 
 void job_request_handler::findSubmission(const pending_call_ptr &Pending) {
+  if (!Options.Store.reachable()) {
+    forward(Pending, "store_lost");
+    return;
+  }
   Options.Store.call(
       {.Op = object_op::Get, .Kind = Options.JobKind, .Name = Pending->JobId},
       [this, Weak = std::weak_ptr<bool>(Alive),
@@ -413,7 +479,7 @@
           answer(Pending->Exchange, StatusAccepted, "{}", JsonContentType);
         else if (Reply.Outcome == object_outcome::Done ||
                  Reply.Outcome == object_outcome::NotFound)
-          answerUnknown(Pending);
+          tryNextOwner(Pending);
         else
           forward(Pending, "store_lost");
       });
@@ -428,31 +494,18 @@
                                std::vector<std::string> Pools,
                                const job_caller &Caller,
                                std::function<void()> OnUnknown) {
-  Call.JobId = qualifiedJobId(Caller.Tenant, Call.JobId);
   auto Pending = std::make_shared<pending_call>();
   Pending->Exchange = Exchange;
-  Pending->JobId = Call.JobId;
+  Pending->Host = Call.Host;
+  Pending->RequestedId = Call.JobId;
   Pending->Call = std::move(Call);
-  Pending->Pools = Pools.empty() ? Options.KnownPools() : std::move(Pools);
+  Pending->AllPools = Pools.empty() ? Options.KnownPools() : std::move(Pools);
   Pending->Caller = Caller;
   Pending->OnUnknown = std::move(OnUnknown);
-  Hosts.find(Pending->Call.Host, event_loop::now(),
-             [this, Weak = std::weak_ptr<bool>(Alive),
-              Pending](job_host_status Status) {
-               if (Weak.expired())
-                 return;
-               switch (Status) {
-               case job_host_status::HasJobs:
-                 startCall(Pending);
-                 return;
-               case job_host_status::NoJobs:
-                 answerUnknown(Pending);
-                 return;
-               case job_host_status::Unavailable:
-                 forward(Pending, "store_lost");
-                 return;
-               }
-             });
+  Pending->OnOwner = [this](const pending_call_ptr &Found) {
+    startCall(Found);
+  };
+  tryOwners(Pending);
 }
 
 void job_request_handler::startCall(const pending_call_ptr &Pending) {
@@ -477,7 +530,7 @@
     answer(Pending->Exchange, StatusOk, Reply.Body, ContentType);
     return;
   case job_cache_status::NoSuchJob:
-    answerUnknown(Pending);
+    tryNextOwner(Pending);
     return;
   case job_cache_status::NoSuchItem:
     answer(Pending->Exchange, StatusNotFound, errorBody("no such item"),
@@ -621,7 +674,7 @@
           answer(Pending->Exchange, StatusOk, "{}", JsonContentType);
           notifySchedulers(Pending->JobId, Pending->Pools);
         } else if (Reply.Outcome == object_outcome::NotFound) {
-          answerUnknown(Pending);
+          tryNextOwner(Pending);
         } else {
           forward(Pending, "store_lost");
         }
--- a/jobs/job_request_handler.h
+++ b/jobs/job_request_handler.h
@@ -63,9 +63,12 @@
 
 /// Who calls, as the receiving gateway has determined.
 struct job_caller {
-  /// Name of the tenant, which owns the jobs that it submits and can access no
-  /// others; empty = none.
+  /// Name of the tenant, which owns the jobs that it submits; empty = none. A
+  /// tenant can access its own jobs and those without an owner, others only the
+  /// latter, whatever routes there are now.
   std::string Tenant;
+  /// The call comes from another gateway, which looks for the jobs of each
+  /// owner by a call of its own: only those of Tenant are meant.
   bool Forwarded = false;
 };
 
@@ -74,7 +77,10 @@
   explicit job_request_handler(job_request_handler_options Options);
 
   /// Records that the configuration accepts jobs on the host.
-  void addJobHost(std::string_view Host) { Hosts.add(Host); }
+  void addJobHost(const job_host &Host);
+  /// Learns whether jobs have been accepted on the host, so that calls on them
+  /// can be answered during an outage of the store.
+  void prefetchJobHost(const job_host &Host);
   /// Caller.Forwarded: the call comes from another gateway and must not be
   /// forwarded again.
   void submit(const exchange_ptr &Exchange, const route &Route,
@@ -89,7 +95,7 @@
   /// Pools: services of the rollout routes on the call's host. If there is no
   /// such route any more, the job may belong to any pool. Call.JobId is the id
   /// that the caller sent. Calls OnUnknown instead of responding if there is no
-  /// such job; null = responds with 404.
+  /// such job that the caller can access; null = responds with 404.
   void call(const exchange_ptr &Exchange, job_call Call,
             std::vector<std::string> Pools, const job_caller &Caller,
             std::function<void()> OnUnknown);
@@ -107,6 +113,10 @@
   struct pending_call;
   using pending_call_ptr = std::shared_ptr<pending_call>;
 
+  /// Looks for the jobs that the caller can access, one owner after the other.
+  void tryOwners(const pending_call_ptr &Pending);
+  /// Looks for the jobs of the next owner; answerUnknown() if none is left.
+  void tryNextOwner(const pending_call_ptr &Pending);
   /// Sends the submission's next write to the store.
   void write(const std::shared_ptr<submission> &Submission);
   void onHostRecorded(const std::shared_ptr<submission> &Submission,
--- a/server/caller_gate.cpp
+++ b/server/caller_gate.cpp
@@ -73,25 +73,29 @@
   return Admission;
 }
 
-caller_admission
+job_call_admission
 caller_gate::admitJobCall(std::span<const route *const> JobRoutes,
                           const std::optional<std::string> &ApiKey,
                           time_point ConfirmedAt, time_point Now) const {
+  if (!Keys)
+    return {};
   const auto IsPublic = [](const route *Route) { return Route->Public; };
-  // Jobs of public routes have no owner.
   const bool OnlyPublic =
       !JobRoutes.empty() &&
       std::all_of(JobRoutes.begin(), JobRoutes.end(), IsPublic);
-  if (!Keys || OnlyPublic)
-    return caller_identity{};
-  if (ApiKey)
-    return admitKey(*ApiKey, 0, ConfirmedAt, Now);
-  // Without a route, the job may have come through a public one.
-  if (std::none_of(JobRoutes.begin(), JobRoutes.end(),
-                   [&](const route *Route) { return !IsPublic(Route); }))
-    return caller_identity{};
-  return caller_rejection{.Status = StatusUnauthorized,
-                          .Reason = "missing_key"};
+  if (ApiKey) {
+    const caller_admission Admission = admitKey(*ApiKey, 0, ConfirmedAt, Now);
+    if (const auto *Identity = std::get_if<caller_identity>(&Admission))
+      return {.Caller = *Identity, .IfUnknown = {}};
+    if (OnlyPublic)
+      return {};
+    return {.Caller = {}, .IfUnknown = std::get<caller_rejection>(Admission)};
+  }
+  if (std::all_of(JobRoutes.begin(), JobRoutes.end(), IsPublic))
+    return {};
+  return {.Caller = {},
+          .IfUnknown = caller_rejection{.Status = StatusUnauthorized,
+                                        .Reason = "missing_key"}};
 }
 
 } // namespace cardamom
--- a/server/caller_gate.h
+++ b/server/caller_gate.h
@@ -51,6 +51,15 @@
 
 using caller_admission = std::variant<caller_identity, caller_rejection>;
 
+/// Who makes a call on a batch job. Whether the caller can access the job is
+/// known only once the job is found.
+struct job_call_admission {
+  caller_identity Caller;
+  /// The response if there is no such job that the caller can access;
+  /// nullopt = that of a job that does not exist.
+  std::optional<caller_rejection> IfUnknown;
+};
+
 struct caller_gate_options {
   /// Age up to which the configuration counts as confirmed by the store.
   milliseconds ConfigMaxAge{2000};
@@ -79,10 +88,11 @@
                                        const std::optional<std::string> &ApiKey,
                                        time_point ConfirmedAt,
                                        time_point Now) const;
-  /// Admits a call on a batch job. Such a call has no route of its own:
-  /// JobRoutes are the routes for jobs on its host. They may be gone, because a
-  /// job outlives its route.
-  [[nodiscard]] caller_admission
+  /// Identifies the caller of a batch job. The routes of the moment do not say
+  /// which jobs it can access, because a job outlives its route: JobRoutes, the
+  /// routes for jobs on the call's host, only determine the response if there
+  /// is no such job.
+  [[nodiscard]] job_call_admission
   admitJobCall(std::span<const route *const> JobRoutes,
                const std::optional<std::string> &ApiKey, time_point ConfirmedAt,
                time_point Now) const;
--- a/server/caller_gate_test.cpp
+++ b/server/caller_gate_test.cpp
@@ -16,7 +16,8 @@
   CPPUNIT_TEST(unconfirmedConfigurationKeepsKnownKeys);
   CPPUNIT_TEST(strictRevocationAcceptsNoUnconfirmedKey);
   CPPUNIT_TEST(keyOfTwoTenantsIdentifiesNone);
-  CPPUNIT_TEST(jobCallsNeedTheKeyOfTheirRoutes);
+  CPPUNIT_TEST(routesDoNotDecideWhoCallsOnAJob);
+  CPPUNIT_TEST(unknownJobIsAnsweredAsTheRoutesSay);
   CPPUNIT_TEST(configurationWithoutTenantsNeedsNoKey);
   CPPUNIT_TEST_SUITE_END();
 
@@ -147,28 +148,49 @@
                          tenantOf(Gate.admit(Route, "own", Fresh, Now)));
   }
 
-  // Guards against job calls that skip the check, and against a job that its
-  // owner can no longer read because its route was removed.
-  void jobCallsNeedTheKeyOfTheirRoutes() {
+  struct job_call_case {
+    std::vector<const route *> Routes;
+    std::optional<std::string> Key;
+    std::string Tenant;
+    /// Status if there is no such job; 0 = as for a job that does not exist.
+    unsigned IfUnknown = 0;
+  };
+
+  const route Owned = makeRoute(/*Public=*/false);
+  const route Public = makeRoute(/*Public=*/true);
+  const std::vector<job_call_case> JobCallCases = {
+      {{&Owned}, std::nullopt, "", 401},
+      {{&Owned}, "x", "", 401},
+      {{&Owned}, "key-a", "a", 0},
+      {{&Owned, &Public}, std::nullopt, "", 401},
+      {{&Owned, &Public}, "x", "", 401},
+      {{&Owned, &Public}, "key-a", "a", 0},
+      {{&Public}, std::nullopt, "", 0},
+      {{&Public}, "x", "", 0},
+      {{&Public}, "key-a", "a", 0},
+      {{}, std::nullopt, "", 0},
+      {{}, "x", "", 401},
+      {{}, "key-a", "a", 0}};
+
+  // Guards against a job that its submitter can no longer read because a route
+  // of its host was added or removed, and against an invalid key that stands
+  // for a tenant.
+  void routesDoNotDecideWhoCallsOnAJob() {
     const caller_gate Gate = makeGate(configWith({{"a", "key-a"}}));
-    const route Owned = makeRoute(/*Public=*/false);
-    const route Public = makeRoute(/*Public=*/true);
-    const std::vector<const route *> OwnedRoutes = {&Owned, &Public};
-    const std::vector<const route *> PublicRoutes = {&Public};
-    CPPUNIT_ASSERT_EQUAL(401U, statusOf(Gate.admitJobCall(
-                                   OwnedRoutes, std::nullopt, Fresh, Now)));
-    CPPUNIT_ASSERT_EQUAL(
-        401U, statusOf(Gate.admitJobCall(OwnedRoutes, "x", Fresh, Now)));
-    CPPUNIT_ASSERT_EQUAL(
-        std::string("a"),
-        tenantOf(Gate.admitJobCall(OwnedRoutes, "key-a", Fresh, Now)));
-    CPPUNIT_ASSERT_EQUAL(
-        std::string(),
-        tenantOf(Gate.admitJobCall(PublicRoutes, "key-a", Fresh, Now)));
-    CPPUNIT_ASSERT_EQUAL(std::string("a"),
-                         tenantOf(Gate.admitJobCall({}, "key-a", Fresh, Now)));
-    CPPUNIT_ASSERT_EQUAL(401U,
-                         statusOf(Gate.admitJobCall({}, "x", Fresh, Now)));
+    for (const job_call_case &Case : JobCallCases)
+      CPPUNIT_ASSERT_EQUAL(
+          Case.Tenant,
+          Gate.admitJobCall(Case.Routes, Case.Key, Fresh, Now).Caller.Tenant);
+  }
+
+  // Guards against job calls that skip the check of their key.
+  void unknownJobIsAnsweredAsTheRoutesSay() {
+    const caller_gate Gate = makeGate(configWith({{"a", "key-a"}}));
+    for (const job_call_case &Case : JobCallCases) {
+      const auto Rejection =
+          Gate.admitJobCall(Case.Routes, Case.Key, Fresh, Now).IfUnknown;
+      CPPUNIT_ASSERT_EQUAL(Case.IfUnknown, Rejection ? Rejection->Status : 0U);
+    }
   }
 
   void configurationWithoutTenantsNeedsNoKey() {
@@ -176,8 +198,13 @@
     const route Route = makeRoute(/*Public=*/false);
     CPPUNIT_ASSERT_EQUAL(std::string(),
                          tenantOf(Gate.admit(Route, "x", Stale, Now)));
-    CPPUNIT_ASSERT_EQUAL(std::string(), tenantOf(Gate.admitJobCall(
-                                            {}, std::nullopt, Stale, Now)));
+    const route *const Routes[] = {&Route};
+    for (const std::optional<std::string> &Key :
+         {std::optional<std::string>(), std::optional<std::string>("x")}) {
+      const auto Call = Gate.admitJobCall(Routes, Key, Stale, Now);
+      CPPUNIT_ASSERT_EQUAL(std::string(), Call.Caller.Tenant);
+      CPPUNIT_ASSERT(!Call.IfUnknown);
+    }
   }
 };
 
--- a/server/request_handler.cpp
+++ b/server/request_handler.cpp
@@ -49,7 +49,16 @@
   CallerGate.install(Config);
   for (const route &Route : Config.Routes)
     if (Route.Kind == route_kind::Rollout)
-      Options.JobHandler.addJobHost(Route.Host);
+      Options.JobHandler.addJobHost(
+          job_host(Route.Host, Config.Tenants && !Route.Public
+                                   ? job_ownership::Owned
+                                   : job_ownership::Unowned));
+  if (Config.Tenants)
+    for (const route &Route : Config.Routes)
+      if (Route.Kind == route_kind::Rollout)
+        for (const auto Ownership :
+             {job_ownership::Owned, job_ownership::Unowned})
+          Options.JobHandler.prefetchJobHost(job_host(Route.Host, Ownership));
   logInfo("config_installed",
           {{"version", std::to_string(Config.Version)},
            {"routes", std::to_string(Config.Routes.size())}});
@@ -180,12 +189,12 @@
                                          event_loop::now()));
 }
 
-caller_admission
+job_call_admission
 request_handler::admitJobCall(std::span<const route *const> JobRoutes,
                               const inbound_request &Request,
                               bool Forwarded) const {
   if (Forwarded)
-    return forwardedIdentity(Request);
+    return {.Caller = forwardedIdentity(Request), .IfUnknown = {}};
   return CallerGate.admitJobCall(JobRoutes, Request.ApiKey,
                                  Options.ConfigConfirmedAt(),
                                  event_loop::now());
@@ -212,13 +221,8 @@
   const bool OtherRoute =
       Pools.empty() && !Forwarded &&
       findRoute(Call->Host, Exchange->request().Target) != nullptr;
-  caller_admission Admission = admitJobCall(JobRoutes, Request, Forwarded);
-  if (OtherRoute && std::holds_alternative<caller_rejection>(Admission))
-    return false;
-  const auto Caller = checkAdmission(
-      Exchange, Request.UpstreamRequest.RequestId, std::move(Admission));
-  if (!Caller)
-    return true;
+  const job_call_admission Admission =
+      admitJobCall(JobRoutes, Request, Forwarded);
   if (rejectIfStopping(Exchange, Request.UpstreamRequest.RequestId,
                        Options.JobHandler.timeLimit(Call->Wait)))
     return true;
@@ -227,9 +231,15 @@
     OnUnknown = [this, Exchange, Request] {
       handleByRoute(Exchange, Request, /*Forwarded=*/false);
     };
-  Options.JobHandler.call(Exchange, *Call, std::move(Pools),
-                          {.Tenant = Caller->Tenant, .Forwarded = Forwarded},
-                          std::move(OnUnknown));
+  else if (Admission.IfUnknown)
+    OnUnknown = [this, Exchange, Id = Request.UpstreamRequest.RequestId,
+                 Rejection = *Admission.IfUnknown] {
+      deny(Exchange, Id, Rejection);
+    };
+  Options.JobHandler.call(
+      Exchange, *Call, std::move(Pools),
+      {.Tenant = Admission.Caller.Tenant, .Forwarded = Forwarded},
+      std::move(OnUnknown));
   return true;
 }
 
@@ -265,21 +275,17 @@
                                         const inbound_request &Request,
                                         bool Forwarded) {
   const upstream_request &Call = Request.UpstreamRequest;
-  caller_admission Admission = admitJobCall({}, Request, Forwarded);
-  if (std::holds_alternative<caller_rejection>(Admission) &&
-      findRoute(Call.Host, Call.Target)) {
-    handleByRoute(Exchange, Request, Forwarded);
-    return;
-  }
-  const auto Caller =
-      checkAdmission(Exchange, Call.RequestId, std::move(Admission));
-  if (Caller)
-    Options.JobHandler.confirmSubmission(
-        Exchange, Call.RequestId,
-        {.Tenant = Caller->Tenant, .Forwarded = Forwarded},
-        [this, Exchange, Request, Forwarded] {
+  const job_call_admission Admission = admitJobCall({}, Request, Forwarded);
+  Options.JobHandler.confirmSubmission(
+      Exchange, Call.RequestId,
+      {.Tenant = Admission.Caller.Tenant, .Forwarded = Forwarded},
+      [this, Exchange, Request, Forwarded, IfUnknown = Admission.IfUnknown] {
+        const upstream_request &Call = Request.UpstreamRequest;
+        if (IfUnknown && !findRoute(Call.Host, Call.Target))
+          deny(Exchange, Call.RequestId, *IfUnknown);
+        else
           handleByRoute(Exchange, Request, Forwarded);
-        });
+      });
 }
 
 void request_handler::handleByRoute(const exchange_ptr &Exchange,
@@ -299,7 +305,7 @@
     return;
   switch (Route->Kind) {
   case route_kind::Rollout: {
-    // Jobs of public routes have no owner; see caller_gate::admitJobCall().
+    // Jobs of public routes have no owner.
     const bool Owned = Forwarded || !Route->Public;
     Options.JobHandler.submit(Exchange, *Route, Id,
                               {.Tenant = Owned ? Caller->Tenant : std::string(),
--- a/server/request_handler.h
+++ b/server/request_handler.h
@@ -90,7 +90,7 @@
                                        const route &Route,
                                        const inbound_request &Request,
                                        bool Forwarded);
-  [[nodiscard]] caller_admission
+  [[nodiscard]] job_call_admission
   admitJobCall(std::span<const route *const> JobRoutes,
                const inbound_request &Request, bool Forwarded) const;
   std::optional<caller_identity> checkAdmission(const exchange_ptr &Exchange,
