Answer requests whose bytes are not text, and contain their exceptions

Cause: the answer quotes the text of an exception, which quotes those bytes, and was written by json::dump(), which throws for invalid UTF-8. The exception left the event loop and ended the process.

On related paths: the text of an exception is no longer a label of requests_refused_total, and a job whose id is not UTF-8 gets 400, because the store replaced the bytes and different ids could meet.

Without the guard, exceptionEndsItsExchangeOnly ends http_tests.

--- a/gateway/leader_election.cpp
+++ b/gateway/leader_election.cpp
@@ -1,6 +1,7 @@
 #include "gateway/leader_election.h"
 
 #include "base/bounded_json.h"
+#include "base/json_text.h"
 #include "base/log.h"
 #include "base/percent_encoding.h"
 #include "http/event_loop.h"
@@ -435,7 +436,7 @@
                               .Target = std::string(InnerLeasePath) +
                                         "?pool=" + percentEncode(Options.Name),
                               .Headers = {{"Host", Address}},
-                              .Body = encodeLease(Lease.record()).dump()};
+                              .Body = toJsonText(encodeLease(Lease.record()))};
     AnnouncementCalls.push_back(
         Options.Client.fetch(Address, Notice, Options.ProbeTimeout,
                              [](const call_completion & /*End*/,
--- a/gateway/usage_reporter.cpp
+++ b/gateway/usage_reporter.cpp
@@ -1,6 +1,7 @@
 #include "gateway/usage_reporter.h"
 
 #include "base/bounded_json.h"
+#include "base/json_text.h"
 #include "base/log.h"
 #include "base/metrics.h"
 #include "http/event_loop.h"
@@ -101,7 +102,7 @@
   const usage_windows Wanted(All.upper_bound(After), All.end());
   const json Encoded = {{"incarnation", Options.Election.Incarnation},
                         {"windows", encodeWindows(Wanted)}};
-  return Encoded.dump(-1, ' ', false, json::error_handler_t::replace);
+  return toJsonText(Encoded);
 }
 
 void usage_reporter::onElected() {
--- a/http/http_engine_test.cpp
+++ b/http/http_engine_test.cpp
@@ -9,6 +9,7 @@
 #include <functional>
 #include <netinet/in.h>
 #include <optional>
+#include <stdexcept>
 #include <string>
 #include <sys/socket.h>
 #include <thread>
@@ -76,6 +77,7 @@
   CPPUNIT_TEST(drainClosesIdleConnections);
   CPPUNIT_TEST(drainReadsBegunRequests);
   CPPUNIT_TEST(streamToCallerThatDoesNotReadIsEnded);
+  CPPUNIT_TEST(exceptionEndsItsExchangeOnly);
   CPPUNIT_TEST_SUITE_END();
 
   struct outcome {
@@ -427,6 +429,41 @@
     CPPUNIT_ASSERT(Slow.starts_with("HTTP/1.1 408 "));
   }
 
+  // Guards against a request whose handler throws and ends the process, and
+  // against a broken stream that looks complete.
+  void exceptionEndsItsExchangeOnly() {
+    std::string Texts[2];
+    exchange_ptr Kept;
+    serve(
+        [&](const exchange_ptr &Exchange) {
+          Kept = Exchange;
+          const std::string &Target = Exchange->request().Target;
+          if (Target == "/stream") {
+            Exchange->startStream({.Status = 200});
+            Exchange->writeStream("part");
+          }
+          if (Target != "/sound")
+            throw std::logic_error("\xff");
+          Exchange->respond({.Status = 202});
+        },
+        {},
+        [&](const std::string &Address) {
+          const char *const Requests[2] = {
+              "GET /early HTTP/1.1\r\nHost: h\r\n\r\n"
+              "GET /sound HTTP/1.1\r\nHost: h\r\nConnection: close\r\n\r\n",
+              "GET /stream HTTP/1.1\r\nHost: h\r\n\r\n"};
+          for (int I = 0; I < 2; ++I) {
+            const int Socket = connectTo(Address);
+            sendText(Socket, Requests[I]);
+            Texts[I] = readAll(Socket);
+            ::close(Socket);
+          }
+        });
+    Kept.reset();
+    CPPUNIT_ASSERT(Texts[0].starts_with("HTTP/1.1 500 "));
+    CPPUNIT_ASSERT(Texts[0].find("HTTP/1.1 202 ") != std::string::npos);
+    CPPUNIT_ASSERT(Texts[1].find("0\r\n\r\n") == std::string::npos);
+  }
   void abortedStreamHasNoFinalChunk() {
     std::string Text;
     serve(
--- a/http/http_server.cpp
+++ b/http/http_server.cpp
@@ -1,6 +1,8 @@
 #include "http/http_server.h"
 
 #include "base/identifier.h"
+#include "base/log.h"
+#include "base/metrics.h"
 #include "http/event_loop.h"
 #include "http/socket_options.h"
 
@@ -233,7 +235,7 @@
   const auto NewExchange = std::make_shared<http_exchange>(
       shared_from_this(), std::move(Request), event_loop::now());
   Exchange = NewExchange;
-  Server->Options.OnRequest(NewExchange);
+  handleExchange(NewExchange, [&] { Server->Options.OnRequest(NewExchange); });
 }
 
 void server_connection_state::reject(unsigned Status, std::string_view Reason) {
@@ -413,6 +415,23 @@
   Connection->close();
 }
 
+void handleExchange(const exchange_ptr &Exchange,
+                    const std::function<void()> &Task) {
+  try {
+    Task();
+  } catch (const std::exception &Error) {
+    metrics::get().counter("request_exceptions_total").add();
+    logError("request_failed",
+             {{"method", Exchange->request().Method},
+              {"path", std::string(pathOf(Exchange->request().Target))},
+              {"error", Error.what()}});
+    if (Exchange->responseStarted())
+      Exchange->abort();
+    else
+      Exchange->respond({.Status = 500, .Headers = {}, .Body = {}});
+  }
+}
+
 //===--- http_server ---===//
 
 void http_server::state::listen() {
--- a/http/http_server.h
+++ b/http/http_server.h
@@ -91,9 +91,17 @@
   http_server_limits Limits;
   /// Limit on open connections; further ones wait in the kernel's accept queue.
   size_t MaxConnections = 2000;
+  /// May throw; see handleExchange().
   std::function<void(exchange_ptr)> OnRequest;
 };
 
+/// Runs Task, which handles the exchange. An exception ends the exchange
+/// instead of the process: it is logged and counted in
+/// request_exceptions_total, and the client gets status 500, or a closed
+/// connection if the response has been started.
+void handleExchange(const exchange_ptr &Exchange,
+                    const std::function<void()> &Task);
+
 class http_server {
 public:
   /// Throws std::runtime_error that names the address if it cannot listen.
--- a/jobs/job_cache.cpp
+++ b/jobs/job_cache.cpp
@@ -1,5 +1,6 @@
 #include "jobs/job_cache.h"
 
+#include "base/json_text.h"
 #include "base/log.h"
 #include "jobs/job_document.h"
 #include "jobs/result_page.h"
@@ -43,7 +44,7 @@
               entry{.Job = std::move(Job),
                     .ItemCount = ItemCount,
                     .Log = result_log(Id),
-                    .Bytes = Object.Spec.dump().size()});
+                    .Bytes = toJsonText(Object.Spec).size()});
           insert(Entry);
           Done(job_cache_status::Found, Entry);
         } catch (const std::invalid_argument &Error) {
--- a/jobs/job_request_handler.cpp
+++ b/jobs/job_request_handler.cpp
@@ -1,5 +1,6 @@
 #include "jobs/job_request_handler.h"
 
+#include "base/json_text.h"
 #include "base/log.h"
 #include "base/metrics.h"
 #include "base/percent_encoding.h"
@@ -76,7 +77,7 @@
 }
 
 static std::string errorBody(std::string_view Reason) {
-  return nlohmann::json({{"error", Reason}}).dump();
+  return toJsonText({{"error", Reason}});
 }
 
 static std::string formatSeconds(milliseconds Time) {
@@ -217,6 +218,9 @@
     const job Job = Options.Protocols.DecodeJob(Exchange->request().Body);
     if (RequestId.empty())
       throw std::invalid_argument("the job has no id");
+    // The store would replace other bytes, so that different ids could meet.
+    if (!isUtf8(RequestId))
+      throw std::invalid_argument("the job's id is not valid UTF-8");
     if (Job.Items.empty())
       throw std::invalid_argument("field \"items\" is empty");
   } catch (const std::invalid_argument &Error) {
@@ -353,14 +357,13 @@
   const std::string Address = Leadership->schedulerAddress();
   if (Address.empty())
     return;
-  const http_request Notice{
-      .Method = "POST",
-      .Target = std::string(InnerJobPath) + "?pool=" + percentEncode(Pool) +
-                "&job=" + percentEncode(Pending.JobId) +
-                "&revision=" + std::to_string(Revision),
-      .Headers = {{"Host", Address}},
-      .Body = Submission.Request.Value.dump(
-          -1, ' ', false, nlohmann::json::error_handler_t::replace)};
+  const http_request Notice{.Method = "POST",
+                            .Target = std::string(InnerJobPath) +
+                                      "?pool=" + percentEncode(Pool) +
+                                      "&job=" + percentEncode(Pending.JobId) +
+                                      "&revision=" + std::to_string(Revision),
+                            .Headers = {{"Host", Address}},
+                            .Body = toJsonText(Submission.Request.Value)};
   callGateway(Address, Notice, NoticeTimeout,
               [](const call_completion & /*End*/,
                  const http_response & /*Response*/) {});
--- a/jobs/pool_leadership.cpp
+++ b/jobs/pool_leadership.cpp
@@ -2,6 +2,7 @@
 
 #include "base/bounded_json.h"
 #include "base/identifier.h"
+#include "base/json_text.h"
 #include "base/log.h"
 #include "base/metrics.h"
 #include "base/percent_encoding.h"
@@ -134,7 +135,7 @@
                              .Target = std::string(InnerHandoverPath) +
                                        "?pool=" + percentEncode(pool()),
                              .Headers = {{"Host", Address}},
-                             .Body = Election.encodedLease().dump()};
+                             .Body = toJsonText(Election.encodedLease())};
   HandoverCall = Options.Scheduler.Client.fetch(
       Address, Request, Options.HandoverTimeout,
       [this](const call_completion &End, const http_response &Response) {
@@ -254,8 +255,7 @@
   if (!CheckpointServersListed && Options.Scheduler.Store.reachable())
     findCheckpointServers();
   const json Progress = Scheduler->exportProgress(Options.CheckpointMinAge);
-  std::string Document =
-      Progress.dump(-1, ' ', false, json::error_handler_t::replace);
+  std::string Document = toJsonText(Progress);
   if (Document == Checkpoint)
     return;
   Checkpoint = Document;
--- a/server/gateway.cpp
+++ b/server/gateway.cpp
@@ -1,6 +1,7 @@
 #include "server/gateway.h"
 
 #include "base/bounded_json.h"
+#include "base/json_text.h"
 #include "base/log.h"
 #include "base/metrics.h"
 #include "gateway/dispatch_gate.h"
@@ -749,11 +750,9 @@
     if (Handover.SettleTime)
       Headers.add(InnerSettleHeader,
                   std::to_string(Handover.SettleTime->count()));
-    Exchange->respond(
-        {.Status = 200,
-         .Headers = std::move(Headers),
-         .Body = Handover.Progress.dump(
-             -1, ' ', false, nlohmann::json::error_handler_t::replace)});
+    Exchange->respond({.Status = 200,
+                       .Headers = std::move(Headers),
+                       .Body = toJsonText(Handover.Progress)});
   } catch (const std::invalid_argument &Error) {
     logInfo("handover_refused", {{"reason", Error.what()}});
     Exchange->respond({.Status = 409, .Headers = {}, .Body = Error.what()});
--- a/server/request_handler.cpp
+++ b/server/request_handler.cpp
@@ -1,6 +1,7 @@
 #include "server/request_handler.h"
 
 #include "base/invariant.h"
+#include "base/json_text.h"
 #include "base/log.h"
 #include "base/metrics.h"
 #include "base/percent_encoding.h"
@@ -83,6 +84,17 @@
   respondWithError(Exchange, RequestId, Status, Reason, RetryAfter);
 }
 
+void request_handler::rejectMalformed(const exchange_ptr &Exchange,
+                                      std::string_view Detail) {
+  static constexpr std::string_view Reason = "malformed_request";
+  metrics::get().counter("requests_refused_total", "reason", Reason).add();
+  logInfo("request_refused", {{"status", std::to_string(StatusBadRequest)},
+                              {"reason", std::string(Reason)},
+                              {"detail", std::string(Detail)}});
+  respondWithError(Exchange, {}, StatusBadRequest, Detail,
+                   /*RetryAfter=*/milliseconds(0));
+}
+
 void request_handler::deny(const exchange_ptr &Exchange,
                            std::string_view RequestId,
                            const caller_rejection &Rejection) {
@@ -115,7 +127,7 @@
     Response.Headers.add("Retry-After", Text);
   }
   Response.Headers.add("Content-Type", "application/json");
-  Response.Body = nlohmann::json({{"error", Reason}}).dump();
+  Response.Body = toJsonText({{"error", Reason}});
   Exchange->respond(std::move(Response));
 }
 
@@ -229,7 +241,9 @@
   std::function<void()> OnUnknown;
   if (OtherRoute)
     OnUnknown = [this, Exchange, Request] {
-      handleByRoute(Exchange, Request, /*Forwarded=*/false);
+      handleExchange(Exchange, [&] {
+        handleByRoute(Exchange, Request, /*Forwarded=*/false);
+      });
     };
   else if (Admission.IfUnknown)
     OnUnknown = [this, Exchange, Id = Request.UpstreamRequest.RequestId,
@@ -267,7 +281,7 @@
     else
       handleByRoute(Exchange, std::move(Request), Forwarded);
   } catch (const std::invalid_argument &Error) {
-    reject(Exchange, {}, StatusBadRequest, Error.what());
+    rejectMalformed(Exchange, Error.what());
   }
 }
 
@@ -284,7 +298,8 @@
         if (IfUnknown && !findRoute(Call.Host, Call.Target))
           deny(Exchange, Call.RequestId, *IfUnknown);
         else
-          handleByRoute(Exchange, Request, Forwarded);
+          handleExchange(Exchange,
+                         [&] { handleByRoute(Exchange, Request, Forwarded); });
       });
 }
 
--- a/server/request_handler.h
+++ b/server/request_handler.h
@@ -127,6 +127,8 @@
   void reject(const exchange_ptr &Exchange, std::string_view RequestId,
               unsigned Status, std::string_view Reason,
               milliseconds RetryAfter = milliseconds(0));
+  /// Responds with 400. Detail may quote the request.
+  void rejectMalformed(const exchange_ptr &Exchange, std::string_view Detail);
   void deny(const exchange_ptr &Exchange, std::string_view RequestId,
             const caller_rejection &Rejection);
   void respondWithError(const exchange_ptr &Exchange,
