Find jobs that a version without records of hosts has accepted

Cause: since the absence of a host's record in the store counts as proof that the host has no jobs. Earlier versions write no records.

Change: the absence counts only if another service of the host gets the call instead, or if the store is unreachable. An unknown job costs one read more.

--- a/jobs/job_request_handler.cpp
+++ b/jobs/job_request_handler.cpp
@@ -55,8 +55,7 @@
   /// Whether the call is a submission whose outcome is unknown: it may have
   /// been stored, or may be stored later.
   bool MayBeStored = false;
-  /// See job_request_handler::call().
-  std::function<void()> OnUnknown;
+  unknown_job_handler Unknown;
 };
 
 struct job_request_handler::submission {
@@ -102,8 +101,8 @@
 }
 
 void job_request_handler::answerUnknown(const pending_call_ptr &Pending) {
-  if (Pending->OnUnknown)
-    Pending->OnUnknown();
+  if (Pending->Unknown.Respond)
+    Pending->Unknown.Respond();
   else
     answer(Pending->Exchange, StatusNotFound, errorBody("no such job"),
            JsonContentType);
@@ -187,27 +186,27 @@
     Request.Headers.add(InnerTenantHeader, percentEncode(Pending->Owner));
   logInfo("job_call_forwarded", {{"job", Pending->JobId}, {"to", Address}});
   metrics::get().counter("job_calls_forwarded_total").add();
-  callGateway(Address, Request, Pending->Call.Wait + Options.ForwardTimeout,
-              [this, Pending, Reason = std::string(Reason)](
-                  const call_completion &End, http_response Response) {
-                if (End.Result == call_result::Complete &&
-                    Response.Status == StatusNotFound &&
-                    (Pending->OnUnknown || !Pending->NextOwners.empty())) {
-                  tryNextOwner(Pending);
-                  return;
-                }
-                if (End.Result == call_result::Complete &&
-                    Response.Status != StatusUnavailable) {
-                  Response.Headers.removeHopByHopHeaders();
-                  Pending->Exchange->respond(std::move(Response));
-                  return;
-                }
-                if (End.Result != call_result::Complete &&
-                    End.Result != call_result::NotConnected)
-                  Pending->MayBeStored |=
-                      Pending->Exchange->request().Method == "POST";
-                forwardToNextPeer(Pending, Reason);
-              });
+  callGateway(
+      Address, Request, Pending->Call.Wait + Options.ForwardTimeout,
+      [this, Pending, Reason = std::string(Reason)](const call_completion &End,
+                                                    http_response Response) {
+        if (End.Result == call_result::Complete &&
+            Response.Status == StatusNotFound &&
+            (Pending->Unknown.Respond || !Pending->NextOwners.empty())) {
+          tryNextOwner(Pending);
+          return;
+        }
+        if (End.Result == call_result::Complete &&
+            Response.Status != StatusUnavailable) {
+          Response.Headers.removeHopByHopHeaders();
+          Pending->Exchange->respond(std::move(Response));
+          return;
+        }
+        if (End.Result != call_result::Complete &&
+            End.Result != call_result::NotConnected)
+          Pending->MayBeStored |= Pending->Exchange->request().Method == "POST";
+        forwardToNextPeer(Pending, Reason);
+      });
 }
 
 void job_request_handler::submit(const exchange_ptr &Exchange,
@@ -391,9 +390,9 @@
 void job_request_handler::confirmSubmission(const exchange_ptr &Exchange,
                                             const std::string &RequestId,
                                             const job_caller &Caller,
-                                            std::function<void()> OnUnknown) {
+                                            unknown_job_handler Unknown) {
   if (!isSubmission(Options.Protocols, Exchange->request().Body)) {
-    OnUnknown();
+    Unknown.Respond();
     return;
   }
   auto Pending = std::make_shared<pending_call>();
@@ -402,7 +401,7 @@
   Pending->RequestedId = RequestId;
   Pending->AllPools = Options.KnownPools();
   Pending->Caller = Caller;
-  Pending->OnUnknown = std::move(OnUnknown);
+  Pending->Unknown = std::move(Unknown);
   // Unless the store says otherwise.
   Pending->MayBeStored = true;
   Pending->OnOwner = [this](const pending_call_ptr &Found) {
@@ -440,24 +439,28 @@
   Pending->Pools = Pending->AllPools;
   Pending->Peers.clear();
   Pending->PeersChosen = false;
-  Hosts.find(job_host(Pending->Host, ownershipOf(Pending->Owner)),
-             event_loop::now(),
-             [this, Weak = std::weak_ptr<bool>(Alive),
-              Pending](job_host_status Status) {
-               if (Weak.expired())
-                 return;
-               switch (Status) {
-               case job_host_status::HasJobs:
-                 Pending->OnOwner(Pending);
-                 return;
-               case job_host_status::NoJobs:
-                 tryNextOwner(Pending);
-                 return;
-               case job_host_status::Unavailable:
-                 forward(Pending, "store_lost");
-                 return;
-               }
-             });
+  Hosts.find(
+      job_host(Pending->Host, ownershipOf(Pending->Owner)), event_loop::now(),
+      [this, Weak = std::weak_ptr<bool>(Alive),
+       Pending](job_host_status Status) {
+        if (Weak.expired())
+          return;
+        switch (Status) {
+        case job_host_status::HasJobs:
+          Pending->OnOwner(Pending);
+          return;
+        case job_host_status::NoJobs:
+          // A version that wrote no records may have accepted jobs.
+          if (!Pending->Unknown.OtherService && Options.Store.reachable())
+            Pending->OnOwner(Pending);
+          else
+            tryNextOwner(Pending);
+          return;
+        case job_host_status::Unavailable:
+          forward(Pending, "store_lost");
+          return;
+        }
+      });
 }
 
 void job_request_handler::findSubmission(const pending_call_ptr &Pending) {
@@ -496,7 +499,7 @@
 void job_request_handler::call(const exchange_ptr &Exchange, job_call Call,
                                std::vector<std::string> Pools,
                                const job_caller &Caller,
-                               std::function<void()> OnUnknown) {
+                               unknown_job_handler Unknown) {
   auto Pending = std::make_shared<pending_call>();
   Pending->Exchange = Exchange;
   Pending->Host = Call.Host;
@@ -504,7 +507,7 @@
   Pending->Call = std::move(Call);
   Pending->AllPools = Pools.empty() ? Options.KnownPools() : std::move(Pools);
   Pending->Caller = Caller;
-  Pending->OnUnknown = std::move(OnUnknown);
+  Pending->Unknown = std::move(Unknown);
   Pending->OnOwner = [this](const pending_call_ptr &Found) {
     startCall(Found);
   };
--- a/jobs/job_request_handler.h
+++ b/jobs/job_request_handler.h
@@ -6,7 +6,7 @@
 /// Usage:
 ///   job_request_handler Handler({...});
 ///   Handler.submit(Exchange, Route, RequestId, {.Tenant = ...});
-///   Handler.call(Exchange, JobCall, Pools, {.Tenant = ...}, OnUnknown);
+///   Handler.call(Exchange, JobCall, Pools, {.Tenant = ...}, {});
 
 #ifndef CARDAMOM_JOBS_JOB_REQUEST_HANDLER_H
 #define CARDAMOM_JOBS_JOB_REQUEST_HANDLER_H
@@ -72,6 +72,16 @@
   bool Forwarded = false;
 };
 
+/// What happens to a call if there is no such job that the caller can access.
+struct unknown_job_handler {
+  /// null = responds with 404.
+  std::function<void()> Respond;
+  /// Whether another service of the host gets the call then. If so, it must not
+  /// depend on the store, so the job is looked for only on hosts that are known
+  /// to have had jobs.
+  bool OtherService = false;
+};
+
 class job_request_handler {
 public:
   explicit job_request_handler(job_request_handler_options Options);
@@ -87,18 +97,18 @@
               const std::string &RequestId, const job_caller &Caller);
   /// Responds to a request that no route for jobs matches, but that may repeat
   /// the submission of a job: accepted if the store has this job from the same
-  /// host, that is, if it was accepted while its route existed. Calls OnUnknown
-  /// if it has not, or if the body is no job.
+  /// host, that is, if it was accepted while its route existed. Leaves it to
+  /// Unknown, whose Respond is not null, if it has not, or if the body is no
+  /// job.
   void confirmSubmission(const exchange_ptr &Exchange,
                          const std::string &RequestId, const job_caller &Caller,
-                         std::function<void()> OnUnknown);
+                         unknown_job_handler Unknown);
   /// Pools: services of the rollout routes on the call's host. If there is no
   /// such route any more, the job may belong to any pool. Call.JobId is the id
-  /// that the caller sent. Calls OnUnknown instead of responding if there is no
-  /// such job that the caller can access; null = responds with 404.
+  /// that the caller sent.
   void call(const exchange_ptr &Exchange, job_call Call,
             std::vector<std::string> Pools, const job_caller &Caller,
-            std::function<void()> OnUnknown);
+            unknown_job_handler Unknown);
   /// Reads results from the store for another gateway, without waiting for
   /// further ones. Done gets null if they cannot be read. Readers at all
   /// gateways ask the scheduler's gateway, so that each batch is fetched once.
--- a/server/request_handler.cpp
+++ b/server/request_handler.cpp
@@ -238,22 +238,22 @@
   if (rejectIfStopping(Exchange, Request.UpstreamRequest.RequestId,
                        Options.JobHandler.timeLimit(Call->Wait)))
     return true;
-  std::function<void()> OnUnknown;
+  unknown_job_handler Unknown{.Respond = {}, .OtherService = OtherRoute};
   if (OtherRoute)
-    OnUnknown = [this, Exchange, Request] {
+    Unknown.Respond = [this, Exchange, Request] {
       handleExchange(Exchange, [&] {
         handleByRoute(Exchange, Request, /*Forwarded=*/false);
       });
     };
   else if (Admission.IfUnknown)
-    OnUnknown = [this, Exchange, Id = Request.UpstreamRequest.RequestId,
-                 Rejection = *Admission.IfUnknown] {
+    Unknown.Respond = [this, Exchange, Id = Request.UpstreamRequest.RequestId,
+                       Rejection = *Admission.IfUnknown] {
       deny(Exchange, Id, Rejection);
     };
   Options.JobHandler.call(
       Exchange, *Call, std::move(Pools),
       {.Tenant = Admission.Caller.Tenant, .Forwarded = Forwarded},
-      std::move(OnUnknown));
+      std::move(Unknown));
   return true;
 }
 
@@ -293,14 +293,19 @@
   Options.JobHandler.confirmSubmission(
       Exchange, Call.RequestId,
       {.Tenant = Admission.Caller.Tenant, .Forwarded = Forwarded},
-      [this, Exchange, Request, Forwarded, IfUnknown = Admission.IfUnknown] {
-        const upstream_request &Call = Request.UpstreamRequest;
-        if (IfUnknown && !findRoute(Call.Host, Call.Target))
-          deny(Exchange, Call.RequestId, *IfUnknown);
-        else
-          handleExchange(Exchange,
-                         [&] { handleByRoute(Exchange, Request, Forwarded); });
-      });
+      {.Respond =
+           [this, Exchange, Request, Forwarded,
+            IfUnknown = Admission.IfUnknown] {
+             const upstream_request &Call = Request.UpstreamRequest;
+             if (IfUnknown && !findRoute(Call.Host, Call.Target))
+               deny(Exchange, Call.RequestId, *IfUnknown);
+             else
+               handleExchange(Exchange, [&] {
+                 handleByRoute(Exchange, Request, Forwarded);
+               });
+           },
+       .OtherService =
+           !Forwarded && findRoute(Call.Host, Call.Target) != nullptr});
 }
 
 void request_handler::handleByRoute(const exchange_ptr &Exchange,
